--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: run test lint format model bench clean
+
+$(STAMP): pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+run: $(STAMP)
+	@$(PYTHON) examples/run_cooperativa.py
+
+test: $(STAMP)
+	$(PYTHON) -m pytest
+
+lint: $(STAMP)
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m flake8
+	$(PYTHON) -m mypy vanilladrum
+
+format: $(STAMP)
+	$(PYTHON) -m ruff format .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/vanilladrum/__init__.py
@@ -0,0 +1,1 @@
+"""A layer-4 load balancer whose connections carry their own state."""
--- /dev/null
+++ b/vanilladrum/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output."""
--- /dev/null
+++ b/vanilladrum/core/address.py
@@ -0,0 +1,84 @@
+"""Network endpoints of callers, entry hosts and backend servers."""
+
+import functools
+import ipaddress
+
+import attrs
+
+from vanilladrum.core import errors
+
+PORT_BYTES = 2
+MAX_PORT = 65535
+
+
+@attrs.frozen(order=True)
+class Address:
+    """An IP endpoint.
+
+    :param host: IPv4 or IPv6 number in text form.
+    :param port: UDP or TCP port, 0 to 65535.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+    def pack(self) -> bytes:
+        """Return the binary form: 6 bytes for IPv4, 18 for IPv6."""
+        return _pack(self.host, self.port)
+
+
+@functools.lru_cache(maxsize=65536)
+def _pack(host: str, port: int) -> bytes:
+    return ipaddress.ip_address(host).packed + port.to_bytes(2, "big")
+
+
+@functools.lru_cache(maxsize=65536)
+def unpack(data: bytes) -> Address:
+    """Read the binary form of an address.
+
+    >>> unpack(Address("127.0.0.1", 5683).pack())
+    Address(host='127.0.0.1', port=5683)
+
+    :raises AddressError: for a length that is neither IPv4 nor IPv6.
+    """
+    number = data[:-PORT_BYTES]
+    if len(number) not in (4, 16):
+        raise errors.AddressError(
+            f"packed address has {len(data)} bytes; send 6 or 18"
+        )
+    port = int.from_bytes(data[-PORT_BYTES:], "big")
+    return Address(str(ipaddress.ip_address(number)), port)
+
+
+def parse(text: str) -> Address:
+    """Read ``host:port`` or ``[host]:port``.
+
+    >>> parse("[::1]:80").host
+    '::1'
+
+    :raises AddressError: when the text is no IP number with a port.
+    """
+    host, separator, port_text = text.rpartition(":")
+    if not separator or not port_text.isascii() or not port_text.isdigit():
+        raise errors.AddressError(
+            f"{text!r} is no address; write it as 192.0.2.1:5683"
+        )
+    port = int(port_text)
+    if port > MAX_PORT:
+        raise errors.AddressError(
+            f"port {port} of {text!r} is out of range; use 1 to {MAX_PORT}"
+        )
+    bare = host.removeprefix("[").removesuffix("]")
+    try:
+        number = ipaddress.ip_address(bare)
+    except ValueError as error:
+        raise errors.AddressError(
+            f"{bare!r} is no IP number; names are not resolved, "
+            "write an IP number"
+        ) from error
+    return Address(str(number), port)
--- /dev/null
+++ b/vanilladrum/core/entryhost.py
@@ -0,0 +1,815 @@
+"""The decisions of an entry host: typed events in, typed actions out."""
+
+import collections
+import functools
+import heapq
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from vanilladrum.core import actions
+from vanilladrum.core import address as addresses
+from vanilladrum.core import dispatcher as dispatchers
+from vanilladrum.core import errors
+from vanilladrum.core import fleet as fleets
+from vanilladrum.core import membership as memberships
+from vanilladrum.core import ownership
+from vanilladrum.core import peers
+from vanilladrum.core import placement
+from vanilladrum.core import request as requests
+from vanilladrum.core import table as tables
+from vanilladrum.core import token as tokens
+
+MAX_HOPS = 4
+RENEW_SECONDS = 60
+OWNER_GRACE_SECONDS = 5
+RESEND_SECONDS = (1.0, 2.5)
+RECORD_RESEND_SECONDS = (0.03, 0.1)
+RECORD_TIMEOUT_SECONDS = 0.3
+HEIR_LIMIT = 4096
+WaitHook = Callable[[fleets.Service, dispatchers.Job], None]
+AnswerHook = Callable[[fleets.Service, dispatchers.Job, float], None]
+Stage = ownership.Stage
+Event = ownership.Event
+Effect = ownership.Effect
+
+
+class Clock(Protocol):
+    """Time as the daemon or a test gives it."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back."""
+
+    def wall(self) -> float:
+        """Return seconds since 1970."""
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One sending of a job to one server."""
+
+    number: int
+    job: dispatchers.Job
+    server: fleets.Server
+    started: float
+
+
+@attrs.define(eq=False)
+class EntryHost:
+    """State and decisions of one entry host.
+
+    :param membership: this host's view of the others.
+    :param clock: source of time.
+    :param rng: source of random choices.
+    """
+
+    membership: memberships.Membership
+    clock: Clock
+    rng: random.Random
+    fleet: fleets.Fleet | None = None
+    keyring: tokens.Keyring | None = None
+    counters: collections.Counter = attrs.field(factory=collections.Counter)
+    table: tables.RequestTable = attrs.field(factory=tables.RequestTable)
+    witness: tables.WitnessTable = attrs.field(factory=tables.WitnessTable)
+    dispatch: dict[int, dispatchers.Dispatcher] = attrs.field(factory=dict)
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    heirs: dict[bytes, bytes] = attrs.field(factory=dict)
+    inherited: dict[bytes, dict[tables.Key, requests.Response]] = attrs.field(
+        factory=dict
+    )
+    closing: bool = False
+    on_wait: WaitHook | None = None
+    on_answer: AnswerHook | None = None
+    _services: dict[addresses.Address, fleets.Service] = attrs.field(
+        factory=dict
+    )
+    _pairs: dict[int, placement.Pair | None] = attrs.field(factory=dict)
+    _pairs_version: int = -1
+    _timers: list = attrs.field(factory=list)
+    _timer_order: int = 0
+    _attempt_number: int = 0
+    _out: list[actions.Action] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self._attempt_number = self.rng.getrandbits(31)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether a configuration is in force here."""
+        return self.fleet is not None
+
+    @property
+    def generation(self) -> int:
+        """Return the generation in force, 0 for none."""
+        return self.fleet.generation if self.fleet else 0
+
+    def configure(self, fleet: fleets.Fleet) -> bool:
+        """Adopt a configuration if it is newer and valid.
+
+        :returns: whether it was adopted.
+        :raises ConfigurationError: when it contradicts itself; what was in
+            force stays in force.
+        """
+        if fleet.generation <= self.generation:
+            self.counters["configuration_not_newer"] += 1
+            return False
+        fleets.validate(fleet)
+        self.keyring = fleet.keyring()
+        self.fleet = fleet
+        self.membership.generation = fleet.generation
+        self._services = fleet.by_address()
+        now = self.clock.monotonic()
+        for service in fleet.services:
+            known = self.dispatch.get(service.number)
+            if known is None:
+                known = dispatchers.Dispatcher(service, self.rng)
+                self.dispatch[service.number] = known
+            known.configure(service, now)
+        self.counters["configurations_adopted"] += 1
+        return True
+
+    def handle(self, event: object) -> list[actions.Action]:
+        """Treat one event and return what is to be sent."""
+        if isinstance(event, actions.CallerPacket):
+            self._caller_packet(event)
+        elif isinstance(event, actions.ServerReply):
+            self._server_reply(event)
+        elif isinstance(event, actions.PeerMessage):
+            self._peer_message(event)
+        return self._drain()
+
+    def tick(self) -> list[actions.Action]:
+        """Run the timers that are due."""
+        now = self.clock.monotonic()
+        while self._timers and self._timers[0][0] <= now:
+            _, _, action = heapq.heappop(self._timers)
+            action()
+        if self.membership.next_timer() <= now:
+            for datagram in self.membership.tick(now):
+                self._send_peer(datagram.to, datagram.message)
+        return self._drain()
+
+    def next_timer(self) -> float:
+        """Return when :meth:`tick` is due next."""
+        due = self.membership.next_timer()
+        if self._timers:
+            return min(due, self._timers[0][0])
+        return due
+
+    def start_leaving(self) -> list[actions.Action]:
+        """Begin a planned stop: finish what runs, take nothing new."""
+        self.closing = True
+        self.membership.leave()
+        return self._drain()
+
+    def finished(self) -> bool:
+        """Return whether a stop would cut nothing off."""
+        return not self.attempts and not self.table.pending()
+
+    def pair(self, service: fleets.Service) -> placement.Pair | None:
+        """Return dispatcher and witness of a service in this view."""
+        if self._pairs_version != self.membership.version:
+            self._pairs.clear()
+            self._pairs_version = self.membership.version
+        if service.number not in self._pairs:
+            self._pairs[service.number] = placement.choose_pair(
+                service.number, self.membership.alive()
+            )
+        return self._pairs[service.number]
+
+    # Packets of callers
+
+    def _caller_packet(self, packet: actions.CallerPacket) -> None:
+        service = self._services.get(packet.path.service)
+        if service is None or self.keyring is None:
+            self.counters["no_such_service"] += 1
+            return
+        token = self._open(packet, service)
+        if token is None:
+            return
+        if packet.request.idempotent:
+            self._route_idempotent(packet, service, token)
+            return
+        self._route_owned(packet, service, token)
+
+    def _open(
+        self, packet: actions.CallerPacket, service: fleets.Service
+    ) -> tokens.Token | None:
+        sealed = packet.request.token
+        if not sealed:
+            self.counters["new_connections"] += 1
+            self._renew(packet, service, None)
+            return None
+        try:
+            token = self.keyring.open(sealed, packet.path.caller)
+        except errors.TokenError as error:
+            self.counters[f"token_{error.kind}"] += 1
+            if error.kind == "forged":
+                self._renew(packet, service, None)
+            # A key that is unknown here may be in force elsewhere, where
+            # a copy may run: nothing true can be told.
+            return None
+        if token.service != service.number:
+            self.counters["token_foreign"] += 1
+            self._renew(packet, service, None)
+            return None
+        return token
+
+    def _route_idempotent(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> None:
+        pair = self.pair(service)
+        here = pair is None or pair.dispatcher is self.membership.me
+        if here or packet.hops >= MAX_HOPS:
+            self._serve(packet, service, token)
+            return
+        self._forward(packet, pair.dispatcher, judge=False)
+
+    def _route_owned(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> None:
+        if token.owner in self.membership.own_incarnations:
+            self._serve(packet, service, token)
+            return
+        if packet.hops >= MAX_HOPS:
+            self.counters["hop_limit"] += 1
+            return
+        if packet.judge and self._judges(token):
+            self._judge(packet, service, token)
+            return
+        if not self.membership.is_lost(token.owner):
+            owner = self.membership.find(token.owner)
+            self._forward(packet, owner, judge=False)
+            return
+        self._ask_judge(packet, service, token)
+
+    def _ask_judge(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> None:
+        for candidate in (token.owner, token.witness):
+            holder = self._heir_of(candidate)
+            if holder in self.membership.own_incarnations:
+                self._judge(packet, service, token)
+                return
+            if holder == token.owner or self.membership.is_lost(holder):
+                continue
+            self._forward(packet, self.membership.find(holder), judge=True)
+            return
+        self.counters["owner_and_witness_lost"] += 1
+        self._reply(packet, self._unknown(packet, service, token))
+
+    def _judges(self, token: tokens.Token) -> bool:
+        mine = self.membership.own_incarnations
+        holders = (self._heir_of(token.owner), self._heir_of(token.witness))
+        return any(holder in mine for holder in holders)
+
+    def _judge(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> None:
+        key = (token.connection, packet.request.exchange)
+        closed = self.inherited.get(token.owner)
+        if closed is not None:
+            told = closed.get(key)
+            if told is None:
+                self._renew(packet, service, token)
+                return
+            self._reply(packet, told)
+            return
+        now = self.clock.monotonic()
+        judgement = self.witness.judge(token.owner, key, now)
+        self.counters[f"judged_{judgement.value}"] += 1
+        if judgement == ownership.Judgement.NEVER_RUN:
+            self._renew(packet, service, token)
+            return
+        self._reply(packet, self._unknown(packet, service, token))
+
+    def _heir_of(self, incarnation: bytes) -> bytes:
+        seen = set()
+        while incarnation in self.heirs and incarnation not in seen:
+            seen.add(incarnation)
+            incarnation = self.heirs[incarnation]
+        return incarnation
+
+    def _forward(
+        self, packet: actions.CallerPacket, to: peers.Member, judge: bool
+    ) -> None:
+        self.counters["forwarded"] += 1
+        message = peers.Forward(
+            packet.raw,
+            packet.path.caller,
+            packet.path.service,
+            packet.path.via,
+            packet.hops + 1,
+            judge,
+        )
+        self._send_peer(to.address, message)
+
+    # Requests that this host serves
+
+    def _serve(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> None:
+        key = (token.connection, packet.request.exchange)
+        entry = self.table.find(key)
+        if entry is not None:
+            self._repeat(entry, packet, token)
+            return
+        now = self.clock.monotonic()
+        entry = tables.Entry(
+            key, token.owner, packet.path, packet.request.idempotent, now
+        )
+        if not self.table.add(entry, now):
+            self.counters["table_full"] += 1
+            return
+        entry.job = self._job(packet, service, token, now)
+        if packet.request.idempotent:
+            self._admit(entry, service)
+            return
+        if not self._may_own(service, token):
+            self.counters["not_dispatcher"] += 1
+            self._refuse(entry, self._renewal(packet.path, service, token))
+            return
+        self._apply(entry, Event.ARRIVED, service)
+
+    def _job(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+        now: float,
+    ) -> dispatchers.Job:
+        request = packet.request
+        wait = service.deadline
+        if request.deadline is not None:
+            wait = min(wait, request.deadline)
+        home = tokens.NO_SERVER
+        if service.affinity == fleets.Affinity.CONNECTION or request.block:
+            home = token.home
+        return dispatchers.Job(
+            key=(token.connection, request.exchange),
+            request=request,
+            token=token,
+            priority=service.priority(request.path),
+            arrived=now,
+            due=now + wait,
+            home=home,
+            caller=packet.path.caller,
+        )
+
+    def _may_own(self, service: fleets.Service, token: tokens.Token) -> bool:
+        if self.closing or token.owner != self.membership.me.incarnation:
+            return False
+        pair = self.pair(service)
+        if pair is not None and pair.dispatcher is self.membership.me:
+            return True
+        # Views may differ for a moment; a fresh token is honoured.
+        age = self.clock.wall() - token.issued_at
+        return age <= OWNER_GRACE_SECONDS
+
+    def _repeat(
+        self,
+        entry: tables.Entry,
+        packet: actions.CallerPacket,
+        token: tokens.Token,
+    ) -> None:
+        self.counters["copies"] += 1
+        entry.path = packet.path
+        if entry.response is not None:
+            self._reply(packet, entry.response)
+
+    def _apply(
+        self, entry: tables.Entry, event: Event, service: fleets.Service
+    ) -> None:
+        transition = ownership.advance(entry.stage, event)
+        entry.stage = transition.stage
+        if transition.effect == Effect.RECORD:
+            self._record(entry, service, 0)
+        elif transition.effect == Effect.ENQUEUE:
+            self._admit(entry, service)
+
+    def _record(
+        self, entry: tables.Entry, service: fleets.Service, tries: int
+    ) -> None:
+        if entry.stage != Stage.RECORDING:
+            return
+        job = entry.job
+        witness = job.token.witness
+        if witness == tokens.NO_HOST:
+            self._apply(entry, Event.RECORDED, service)
+            return
+        member = self.membership.find(witness)
+        silent = tries > len(RECORD_RESEND_SECONDS)
+        if silent or self.membership.is_lost(witness) or member is None:
+            self.counters["witness_silent"] += 1
+            entry.stage = ownership.advance(
+                entry.stage, Event.WITNESS_SILENT
+            ).stage
+            self._settle(entry, self._renewal(entry.path, service, job.token))
+            return
+        message = peers.Record(job.token.owner, witness, *entry.key)
+        self._send_peer(member.address, message)
+        if tries < len(RECORD_RESEND_SECONDS):
+            wait = RECORD_RESEND_SECONDS[tries]
+        else:
+            wait = RECORD_TIMEOUT_SECONDS - sum(RECORD_RESEND_SECONDS)
+        self._later(
+            wait, functools.partial(self._record, entry, service, tries + 1)
+        )
+
+    def _admit(self, entry: tables.Entry, service: fleets.Service) -> None:
+        job = entry.job
+        now = self.clock.monotonic()
+        dispatcher = self.dispatch[service.number]
+        if not dispatcher.admits(job, now):
+            self.counters["shed"] += 1
+            self._drop(entry, service)
+            return
+        entry.stage = Stage.QUEUED
+        dispatcher.enqueue(job)
+        self._pump(service, now)
+        if not job.queued:
+            return
+        self._later(
+            max(0.0, job.due - now),
+            functools.partial(self._overdue, entry, service),
+        )
+
+    def _overdue(self, entry: tables.Entry, service: fleets.Service) -> None:
+        if entry.stage != Stage.QUEUED or not entry.job.queued:
+            return
+        self.counters["overdue"] += 1
+        self.dispatch[service.number].withdraw(entry.job)
+        self._drop(entry, service)
+
+    def _drop(self, entry: tables.Entry, service: fleets.Service) -> None:
+        wait = self.dispatch[service.number].expected_wait()
+        self._refuse(
+            entry,
+            requests.Response(
+                requests.Outcome.NOT_RUN, retry_after=max(1.0, wait)
+            ),
+        )
+
+    def _refuse(
+        self, entry: tables.Entry, response: requests.Response
+    ) -> None:
+        entry.stage = Stage.REFUSED
+        self._settle(entry, response)
+
+    def _settle(
+        self, entry: tables.Entry, response: requests.Response
+    ) -> None:
+        entry.response = response
+        job = entry.job
+        entry.job = None
+        job.finished = True
+        self.counters[f"told_{response.outcome.value}"] += 1
+        self._out.append(
+            actions.SendToCaller(entry.path, entry.key[1], response)
+        )
+
+    # Attempts at backend servers
+
+    def _pump(self, service: fleets.Service, now: float) -> None:
+        dispatcher = self.dispatch[service.number]
+        for start in dispatcher.pump(now):
+            entry = self.table.find(start.job.key)
+            if entry is None or entry.stage != Stage.QUEUED:
+                dispatcher.release(start.server.number)
+                continue
+            entry.stage = ownership.advance(entry.stage, Event.GRANTED).stage
+            if self.on_wait:
+                self.on_wait(service, start.job)
+            self._attempt(service, start, now)
+            if entry.idempotent:
+                self._later(
+                    dispatcher.hedge_delay,
+                    functools.partial(self._hedge, service, start.job),
+                )
+        resumes_at = dispatcher.resumes_at(now)
+        if resumes_at is not None:
+            self._later(
+                resumes_at - now,
+                lambda: self._pump(service, self.clock.monotonic()),
+            )
+
+    def _attempt(
+        self, service: fleets.Service, start: dispatchers.Start, now: float
+    ) -> None:
+        self._attempt_number = (self._attempt_number + 1) & 0xFFFFFFFF
+        number = self._attempt_number
+        attempt = Attempt(number, start.job, start.server, now)
+        self.attempts[number] = attempt
+        start.job.running[number] = start.server.number
+        self._send_attempt(attempt)
+        for wait in RESEND_SECONDS:
+            if wait < service.attempt_timeout:
+                self._later(wait, functools.partial(self._resend, number))
+        self._later(
+            service.attempt_timeout,
+            functools.partial(self._silent, service, number),
+        )
+
+    def _send_attempt(self, attempt: Attempt) -> None:
+        left = attempt.job.due - self.clock.monotonic()
+        self._out.append(
+            actions.SendToServer(
+                attempt.number,
+                attempt.server.address,
+                attempt.job.request,
+                max(0.0, left),
+            )
+        )
+
+    def _resend(self, number: int) -> None:
+        attempt = self.attempts.get(number)
+        if attempt is not None:
+            self.counters["resent_to_server"] += 1
+            self._send_attempt(attempt)
+
+    def _hedge(self, service: fleets.Service, job: dispatchers.Job) -> None:
+        if job.finished or not job.running:
+            return
+        dispatcher = self.dispatch[service.number]
+        now = self.clock.monotonic()
+        start = dispatcher.second_copy(job, now)
+        if start is None:
+            return
+        self.counters["second_copies"] += 1
+        self._attempt(service, start, now)
+
+    def _end_attempt(self, number: int) -> Attempt | None:
+        attempt = self.attempts.pop(number, None)
+        if attempt is None:
+            return None
+        job = attempt.job
+        job.running.pop(number, None)
+        service = job.token.service
+        self.dispatch[service].release(attempt.server.number)
+        return attempt
+
+    def _server_reply(self, reply: actions.ServerReply) -> None:
+        attempt = self._end_attempt(reply.attempt)
+        if attempt is None:
+            self.counters["late_answers"] += 1
+            return
+        job = attempt.job
+        dispatcher = self.dispatch[job.token.service]
+        service = dispatcher.service
+        now = self.clock.monotonic()
+        if reply.declined:
+            self.counters["declined"] += 1
+            retry_after = reply.response.retry_after
+            dispatcher.declined(attempt.server.number, retry_after, now)
+            self._try_again(job, service, now, reply.response)
+        else:
+            seconds = now - attempt.started
+            dispatcher.answered(attempt.server.number, seconds)
+            self._answered(job, service, attempt, reply.response)
+        self._pump(service, now)
+
+    def _answered(
+        self,
+        job: dispatchers.Job,
+        service: fleets.Service,
+        attempt: Attempt,
+        response: requests.Response,
+    ) -> None:
+        entry = self.table.find(job.key)
+        if entry is None or entry.stage != Stage.DISPATCHED:
+            return
+        for number in list(job.running):
+            loser = self._end_attempt(number)
+            self._out.append(
+                actions.CancelAtServer(number, loser.server.address)
+            )
+        entry.stage = Stage.ANSWERED
+        if self.on_answer:
+            self.on_answer(service, job, self.clock.monotonic() - job.arrived)
+        token = self._refresh(
+            entry.path, service, job.token, attempt.server.number
+        )
+        self._settle(entry, attrs.evolve(response, token=token))
+
+    def _try_again(
+        self,
+        job: dispatchers.Job,
+        service: fleets.Service,
+        now: float,
+        response: requests.Response,
+    ) -> None:
+        entry = self.table.find(job.key)
+        if entry is None or entry.stage != Stage.DISPATCHED or job.running:
+            return
+        dispatcher = self.dispatch[service.number]
+        if now < job.due and dispatcher.may_retry(job):
+            self.counters["retries"] += 1
+            self._apply(entry, Event.SERVER_DECLINED, service)
+            return
+        entry.stage = ownership.advance(
+            entry.stage, Event.SERVER_DECLINED
+        ).stage
+        self._drop(entry, service)
+
+    def _silent(self, service: fleets.Service, number: int) -> None:
+        attempt = self._end_attempt(number)
+        if attempt is None:
+            return
+        self.counters["server_silent"] += 1
+        now = self.clock.monotonic()
+        job = attempt.job
+        dispatcher = self.dispatch[service.number]
+        dispatcher.failed(attempt.server.number, now)
+        entry = self.table.find(job.key)
+        if entry is not None and entry.stage == Stage.DISPATCHED:
+            self._after_silence(entry, service, now)
+        self._pump(service, now)
+
+    def _after_silence(
+        self, entry: tables.Entry, service: fleets.Service, now: float
+    ) -> None:
+        job = entry.job
+        if job.running:
+            return
+        if entry.idempotent:
+            self._try_again(
+                job, service, now, requests.Response(requests.Outcome.NOT_RUN)
+            )
+            return
+        entry.stage = ownership.advance(entry.stage, Event.SERVER_SILENT).stage
+        token = self._refresh(entry.path, service, job.token, job.token.home)
+        self._settle(
+            entry,
+            requests.Response(requests.Outcome.UNKNOWN, token=token),
+        )
+
+    # Tokens and replies
+
+    def _fresh(
+        self,
+        caller: addresses.Address,
+        service: fleets.Service,
+        connection: bytes,
+        home: int,
+    ) -> bytes:
+        pair = self.pair(service)
+        if pair is None:
+            owner, witness = self.membership.me.incarnation, tokens.NO_HOST
+        else:
+            owner = pair.dispatcher.incarnation
+            witness = pair.witness_incarnation
+        token = tokens.Token(
+            int(self.clock.wall()),
+            service.number,
+            home,
+            connection,
+            owner,
+            witness,
+        )
+        return self.keyring.seal(token, caller)
+
+    def _refresh(
+        self,
+        path: requests.ReplyPath,
+        service: fleets.Service,
+        token: tokens.Token,
+        home: int,
+    ) -> bytes:
+        """Return a newer token when the caller's is outdated, or b''."""
+        pair = self.pair(service)
+        current = (
+            pair is not None
+            and pair.dispatcher.incarnation == token.owner
+            and pair.witness_incarnation == token.witness
+            and home == token.home
+            and self.clock.wall() - token.issued_at < RENEW_SECONDS
+        )
+        if current:
+            return b""
+        return self._fresh(path.caller, service, token.connection, home)
+
+    def _renewal(
+        self,
+        path: requests.ReplyPath,
+        service: fleets.Service,
+        token: tokens.Token | None,
+    ) -> requests.Response:
+        if token is None:
+            connection = self.rng.randbytes(8)
+            home = tokens.NO_SERVER
+        else:
+            connection = token.connection
+            home = token.home
+        sealed = self._fresh(path.caller, service, connection, home)
+        return requests.Response(requests.Outcome.RENEW_TOKEN, token=sealed)
+
+    def _renew(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token | None,
+    ) -> None:
+        self._reply(packet, self._renewal(packet.path, service, token))
+
+    def _unknown(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> requests.Response:
+        sealed = self._fresh(
+            packet.path.caller, service, token.connection, token.home
+        )
+        return requests.Response(requests.Outcome.UNKNOWN, token=sealed)
+
+    def _reply(
+        self, packet: actions.CallerPacket, response: requests.Response
+    ) -> None:
+        self.counters[f"told_{response.outcome.value}"] += 1
+        self._out.append(
+            actions.SendToCaller(
+                packet.path, packet.request.exchange, response
+            )
+        )
+
+    # Messages of other entry hosts
+
+    def _peer_message(self, event: actions.PeerMessage) -> None:
+        message = event.message
+        now = self.clock.monotonic()
+        if isinstance(message, peers.Record):
+            self._record_for(event.source, message, now)
+            return
+        if isinstance(message, peers.Recorded):
+            self._recorded(message)
+            return
+        if isinstance(message, peers.Closed):
+            self._closed(message)
+            return
+        for datagram in self.membership.receive(event.source, message, now):
+            self._send_peer(datagram.to, datagram.message)
+
+    def _record_for(
+        self,
+        source: addresses.Address,
+        message: peers.Record,
+        now: float,
+    ) -> None:
+        mine = message.witness in self.membership.own_incarnations
+        if not mine or self.closing or self.witness.full():
+            self.counters["record_ignored"] += 1
+            return
+        key = (message.connection, message.exchange)
+        recorded = self.witness.record(message.owner, key, now)
+        self._send_peer(
+            source, peers.Recorded(message.owner, *key, not recorded)
+        )
+
+    def _recorded(self, message: peers.Recorded) -> None:
+        entry = self.table.find((message.connection, message.exchange))
+        if entry is None or entry.owner != message.owner:
+            return
+        if entry.idempotent or entry.stage != Stage.RECORDING:
+            return
+        dispatcher = self.dispatch[entry.job.token.service]
+        if message.fenced:
+            self.counters["fenced"] += 1
+            self._apply(entry, Event.FENCED, dispatcher.service)
+            return
+        self._apply(entry, Event.RECORDED, dispatcher.service)
+
+    def _closed(self, message: peers.Closed) -> None:
+        while len(self.heirs) >= HEIR_LIMIT:
+            del self.heirs[next(iter(self.heirs))]
+        self.heirs[message.owner] = message.holder
+        self.membership.bury(message.owner)
+
+    def _send_peer(self, to: addresses.Address, message: object) -> None:
+        self._out.append(actions.SendToPeer(to, message))
+
+    def _later(self, wait: float, action: Callable[[], None]) -> None:
+        self._timer_order += 1
+        due = self.clock.monotonic() + wait
+        heapq.heappush(self._timers, (due, self._timer_order, action))
+
+    def _drain(self) -> list[actions.Action]:
+        out = self._out
+        self._out = []
+        return out
--- /dev/null
+++ b/vanilladrum/core/fleet.py
@@ -0,0 +1,275 @@
+"""The configuration that operators print and apply."""
+
+import enum
+import re
+
+import attrs
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+from vanilladrum.core import token as tokens
+
+NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+MAX_NUMBER = 65535
+MAX_SLOTS = 1024
+
+
+class Priority(enum.IntEnum):
+    """Class of a request; the lower value is served first."""
+
+    URGENT = 0
+    BULK = 1
+
+
+class Affinity(enum.Enum):
+    """What keeps to its home server: every request, or block transfers."""
+
+    CONNECTION = "connection"
+    REQUEST = "request"
+
+
+class ServerState(enum.Enum):
+    """Whether a backend server takes new work."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Server:
+    """A backend server.
+
+    :param name: unique among all backend servers.
+    :param number: unique in its service, 1 to 65535.
+    :param data_centre: name of its data centre.
+    :param address: UDP endpoint.
+    :param slots: requests that it runs at once.
+    """
+
+    name: str
+    number: int
+    data_centre: str
+    address: addresses.Address
+    slots: int = 1
+    state: ServerState = ServerState.ACTIVE
+
+
+@attrs.frozen
+class Route:
+    """Priority of the requests whose path begins with ``path``."""
+
+    path: str
+    priority: Priority
+
+
+@attrs.frozen
+class Objective:
+    """Service-level objective of one priority class.
+
+    :param latency: seconds within which an answer counts as good.
+    :param target: share of requests that must be good, 0 to 1.
+    """
+
+    priority: Priority
+    latency: float
+    target: float
+
+
+@attrs.frozen
+class Service:
+    """A service behind one address.
+
+    :param deadline: seconds a request may take when the caller names none.
+    :param attempt_timeout: seconds until a silent server is given up.
+    :param aging: seconds that bulk requests stand behind urgent ones.
+    :param max_queue: requests queued at most.
+    :param retry_ratio: retries allowed per request, as a share.
+    :param hedge_ratio: second copies of idempotent requests, as a share.
+    :param policy: name of the registered choice of server.
+    """
+
+    name: str
+    number: int
+    address: addresses.Address
+    servers: tuple[Server, ...]
+    routes: tuple[Route, ...] = ()
+    objectives: tuple[Objective, ...] = ()
+    affinity: Affinity = Affinity.REQUEST
+    policy: str = "least_busy"
+    deadline: float = 10.0
+    attempt_timeout: float = 4.0
+    aging: float = 0.5
+    max_queue: int = 4096
+    retry_ratio: float = 0.1
+    hedge_ratio: float = 0.03
+    slow_start: float = 0.0
+
+    def priority(self, path: str) -> Priority:
+        """Return the class of the longest route that begins the path.
+
+        >>> service = Service("s", 1, addresses.parse("127.0.0.1:1"), (),
+        ...     (Route("/drawings", Priority.BULK),))
+        >>> service.priority("/drawings/7").name
+        'BULK'
+        >>> service.priority("/slots").name
+        'URGENT'
+        """
+        best = ""
+        found = Priority.URGENT
+        for route in self.routes:
+            if not path.startswith(route.path):
+                continue
+            if len(route.path) < len(best):
+                continue
+            best = route.path
+            found = route.priority
+        return found
+
+
+@attrs.frozen
+class SealingKey:
+    """A token key as operators see it.
+
+    :param key_id: 0 to 15.
+    :param secret: hexadecimal digits, at least 32.
+    """
+
+    key_id: int
+    secret: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Fleet:
+    """A whole configuration.
+
+    :param generation: grows with each accepted change.
+    :param operation: id of the change, for reading back a lost answer.
+    """
+
+    generation: int
+    operation: str
+    data_centres: tuple[str, ...]
+    services: tuple[Service, ...]
+    keys: tuple[SealingKey, ...]
+    active_key: int
+
+    def by_address(self) -> dict[addresses.Address, Service]:
+        """Return the services by their addresses."""
+        return {service.address: service for service in self.services}
+
+    def keyring(self) -> tokens.Keyring:
+        """Return the keys that seal and open tokens."""
+        keys = [
+            tokens.Key(key.key_id, bytes.fromhex(key.secret))
+            for key in self.keys
+        ]
+        return tokens.Keyring.of(keys, self.active_key)
+
+
+def validate(fleet: Fleet) -> None:
+    """Refuse a configuration that contradicts itself.
+
+    :raises ConfigurationError: naming the key and the remedy.
+    """
+    if fleet.generation < 1:
+        raise errors.ConfigurationError(
+            f"generation {fleet.generation} is not positive; count from 1"
+        )
+    if not fleet.data_centres:
+        raise errors.ConfigurationError(
+            "data_centres is empty; name at least one"
+        )
+    for name in fleet.data_centres:
+        _check_name("data_centres", name)
+    _unique("data_centres", list(fleet.data_centres))
+    services = fleet.services
+    _unique("service.name", [service.name for service in services])
+    _unique("service.number", [service.number for service in services])
+    _unique("service.address", [service.address for service in services])
+    servers = [server for service in services for server in service.servers]
+    _unique("server.name", [server.name for server in servers])
+    taken = [server.address for server in servers]
+    taken.extend(service.address for service in services)
+    _unique("server.address", taken)
+    for service in services:
+        _check_service(service, fleet.data_centres)
+    for key in fleet.keys:
+        _check_secret(key)
+    _unique("key.key_id", [key.key_id for key in fleet.keys])
+    fleet.keyring()
+
+
+def _check_service(service: Service, data_centres: tuple[str, ...]) -> None:
+    where = f"service {service.name!r}"
+    _check_name("service.name", service.name)
+    _check_range(f"{where}: number", service.number, 1, MAX_NUMBER)
+    _check_range(f"{where}: address port", service.address.port, 1, 65535)
+    _unique(
+        f"{where}: server.number", [each.number for each in service.servers]
+    )
+    for seconds in ("deadline", "attempt_timeout"):
+        _check_range(
+            f"{where}: {seconds}", getattr(service, seconds), 0.01, 3600
+        )
+    _check_range(f"{where}: aging", service.aging, 0, 3600)
+    _check_range(f"{where}: slow_start", service.slow_start, 0, 3600)
+    _check_range(f"{where}: max_queue", service.max_queue, 1, 10**6)
+    _check_range(f"{where}: retry_ratio", service.retry_ratio, 0, 1)
+    _check_range(f"{where}: hedge_ratio", service.hedge_ratio, 0, 1)
+    for objective in service.objectives:
+        _check_range(f"{where}: latency", objective.latency, 0.0001, 3600)
+        _check_range(f"{where}: target", objective.target, 0, 0.999999)
+    for route in service.routes:
+        if not route.path.startswith("/"):
+            raise errors.ConfigurationError(
+                f"{where}: route {route.path!r} is no path; begin it with /"
+            )
+    for server in service.servers:
+        _check_server(server, data_centres)
+
+
+def _check_server(server: Server, data_centres: tuple[str, ...]) -> None:
+    where = f"server {server.name!r}"
+    _check_name("server.name", server.name)
+    _check_range(f"{where}: number", server.number, 1, MAX_NUMBER)
+    _check_range(f"{where}: slots", server.slots, 1, MAX_SLOTS)
+    _check_range(f"{where}: address port", server.address.port, 1, 65535)
+    if server.data_centre not in data_centres:
+        raise errors.ConfigurationError(
+            f"{where}: data centre {server.data_centre!r} is not declared; "
+            "add it to data_centres or correct the name"
+        )
+
+
+def _check_secret(key: SealingKey) -> None:
+    try:
+        bytes.fromhex(key.secret)
+    except ValueError as error:
+        raise errors.ConfigurationError(
+            f"key {key.key_id}: secret is not hexadecimal; run "
+            "`vanilladrum keys rotate` to make one"
+        ) from error
+
+
+def _check_name(key: str, name: str) -> None:
+    if NAME.fullmatch(name):
+        return
+    raise errors.ConfigurationError(
+        f"{key} {name!r} is no name; use 1 to 63 of a-z, 0-9 and inner -"
+    )
+
+
+def _check_range(key: str, value: float, low: float, high: float) -> None:
+    if low <= value <= high:
+        return
+    raise errors.ConfigurationError(f"{key} is {value}; use {low} to {high}")
+
+
+def _unique(key: str, values: list) -> None:
+    seen = set()
+    for value in values:
+        if value in seen:
+            raise errors.ConfigurationError(
+                f"{key} {str(value)!r} is used twice; give each its own"
+            )
+        seen.add(value)
--- /dev/null
+++ b/vanilladrum/core/membership.py
@@ -0,0 +1,374 @@
+"""Failure detection between entry hosts at a constant cost per host.
+
+Each period a host probes one other host, asks a few others to probe it when
+it stays silent, then suspects it and finally declares that start of it dead.
+A host that learns of a suspicion refutes it. Death of an incarnation is
+final: a host that was declared dead takes a new incarnation.
+"""
+
+import enum
+import random
+
+import attrs
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import peers
+
+START_BYTES = 4
+MAX_GOSSIP = 8
+RETRANSMIT_FACTOR = 3
+HELPERS = 2
+MAX_DEAD = 4096
+
+
+class State(enum.IntEnum):
+    """State of an incarnation; of equal refutations the higher wins."""
+
+    ALIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+    DEAD = 3
+
+
+@attrs.frozen
+class Timing:
+    """Periods of the failure detector, in seconds.
+
+    :param period: between two probes of a host.
+    :param probe_timeout: until helpers are asked.
+    :param suspicion: until a suspect is declared dead.
+    :param reconnect: between two probes of a dead host's address.
+    """
+
+    period: float = 0.2
+    probe_timeout: float = 0.1
+    suspicion: float = 0.8
+    reconnect: float = 2.0
+
+
+@attrs.frozen
+class Datagram:
+    """A message to send to a peer."""
+
+    to: addresses.Address
+    message: object
+
+
+@attrs.define
+class _Rumour:
+    member: peers.Member
+    left: int
+
+
+@attrs.define
+class _Probe:
+    target: bytes
+    asked_helpers: bool
+    started: float
+
+
+@attrs.define
+class Membership:
+    """The view that one host has of the others.
+
+    :param me: own entry; replaced when the host takes a new incarnation.
+    :param rng: source of random choices.
+    """
+
+    me: peers.Member
+    rng: random.Random
+    timing: Timing = attrs.field(factory=Timing)
+    generation: int = 0
+    members: dict[bytes, peers.Member] = attrs.field(factory=dict)
+    seeds: tuple[addresses.Address, ...] = ()
+    own_incarnations: set[bytes] = attrs.field(factory=set)
+    generations: dict[bytes, int] = attrs.field(factory=dict)
+    version: int = 0
+    false_deaths: int = 0
+    _rumours: dict[bytes, _Rumour] = attrs.field(factory=dict)
+    _probe: _Probe | None = None
+    _suspects: dict[bytes, float] = attrs.field(factory=dict)
+    _relayed: dict[int, tuple[addresses.Address, int]] = attrs.field(
+        factory=dict
+    )
+    _round: list[bytes] = attrs.field(factory=list)
+    _sequence: int = 0
+    _next_probe: float = 0.0
+    _next_reconnect: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.own_incarnations.add(self.me.incarnation)
+
+    def alive(self) -> list[peers.Member]:
+        """Return the hosts that may take work, this one included."""
+        found = [
+            member
+            for member in self.members.values()
+            if member.state in (State.ALIVE, State.SUSPECT)
+        ]
+        if self.me.state == State.ALIVE:
+            found.append(self.me)
+        return found
+
+    def find(self, incarnation: bytes) -> peers.Member | None:
+        """Return the entry of an incarnation, dead ones included."""
+        if incarnation in self.own_incarnations:
+            return self.me
+        return self.members.get(incarnation)
+
+    def is_lost(self, incarnation: bytes) -> bool:
+        """Return whether an incarnation is dead or was never heard of."""
+        member = self.find(incarnation)
+        return member is None or member.state == State.DEAD
+
+    def leave(self) -> None:
+        """Announce a planned stop."""
+        self._set_me(attrs.evolve(self.me, state=State.LEAVING))
+
+    def bury(self, incarnation: bytes) -> None:
+        """Count an incarnation as dead that is known to have ended."""
+        if incarnation not in self.own_incarnations:
+            self._change(incarnation, State.DEAD)
+
+    def next_timer(self) -> float:
+        """Return when :meth:`tick` is due next."""
+        due = [self._next_probe, *self._suspects.values()]
+        if self._probe and not self._probe.asked_helpers:
+            due.append(self._probe.started + self.timing.probe_timeout)
+        return min(due)
+
+    def tick(self, now: float) -> list[Datagram]:
+        """Run what is due: probes, helpers, suspicions, reconnects."""
+        sent: list[Datagram] = []
+        for incarnation, due in list(self._suspects.items()):
+            if due > now:
+                continue
+            del self._suspects[incarnation]
+            self._change(incarnation, State.DEAD)
+        probe = self._probe
+        timeout = self.timing.probe_timeout
+        if probe and not probe.asked_helpers:
+            if now >= probe.started + timeout:
+                probe.asked_helpers = True
+                sent.extend(self._ask_helpers(probe))
+        if now >= self._next_probe:
+            self._fail_probe(now)
+            self._next_probe = now + self.timing.period
+            sent.extend(self._start_probe(now))
+        if now >= self._next_reconnect:
+            self._next_reconnect = now + self.timing.reconnect
+            sent.extend(self._reconnect())
+        return sent
+
+    def receive(
+        self, source: addresses.Address, message: object, now: float
+    ) -> list[Datagram]:
+        """Treat a ping, an acknowledgement or a probe request."""
+        if isinstance(message, (peers.Ping, peers.Ack)):
+            sender = message.sender.incarnation
+            self.generations[sender] = message.generation
+        if isinstance(message, peers.Ping):
+            self._hear(message.sender, message.gossip, now)
+            return [Datagram(source, self._ack(message))]
+        if isinstance(message, peers.Ack):
+            self._hear(message.sender, message.gossip, now)
+            return self._acknowledged(message)
+        if isinstance(message, peers.PingRequest):
+            self._hear(message.sender, (), now)
+            return [self._relay(source, message)]
+        return []
+
+    def _ack(self, ping: peers.Ping) -> peers.Ack:
+        gossip = self._gossip()
+        known = self.members.get(ping.sender.incarnation)
+        if known and known.state in (State.DEAD, State.SUSPECT):
+            gossip = (known, *gossip)
+        return peers.Ack(ping.sequence, self.me, self.generation, gossip)
+
+    def _acknowledged(self, ack: peers.Ack) -> list[Datagram]:
+        relayed = self._relayed.pop(ack.sequence, None)
+        if relayed:
+            asker, sequence = relayed
+            answer = attrs.evolve(ack, sequence=sequence)
+            return [Datagram(asker, answer)]
+        if self._probe and self._probe.target == ack.sender.incarnation:
+            self._probe = None
+        return []
+
+    def _relay(
+        self, source: addresses.Address, asked: peers.PingRequest
+    ) -> Datagram:
+        self._sequence += 1
+        while len(self._relayed) >= MAX_GOSSIP * MAX_GOSSIP:
+            del self._relayed[next(iter(self._relayed))]
+        self._relayed[self._sequence] = (source, asked.sequence)
+        return Datagram(asked.target.address, self._ping(self._sequence))
+
+    def _ping(self, sequence: int) -> peers.Ping:
+        return peers.Ping(sequence, self.me, self.generation, self._gossip())
+
+    def _start_probe(self, now: float) -> list[Datagram]:
+        target = self._next_target()
+        if target is None:
+            return []
+        self._sequence += 1
+        self._probe = _Probe(target.incarnation, False, now)
+        return [Datagram(target.address, self._ping(self._sequence))]
+
+    def _next_target(self) -> peers.Member | None:
+        while True:
+            if not self._round:
+                self._round = [
+                    incarnation
+                    for incarnation, member in self.members.items()
+                    if member.state != State.DEAD
+                ]
+                self.rng.shuffle(self._round)
+            if not self._round:
+                return None
+            member = self.members.get(self._round.pop())
+            if member and member.state != State.DEAD:
+                return member
+
+    def _ask_helpers(self, probe: _Probe) -> list[Datagram]:
+        target = self.members.get(probe.target)
+        if target is None:
+            return []
+        others = [
+            member
+            for member in self.members.values()
+            if member.state in (State.ALIVE, State.LEAVING)
+            and member.incarnation != probe.target
+        ]
+        helpers = self.rng.sample(others, min(HELPERS, len(others)))
+        asked = peers.PingRequest(self._sequence, self.me, target)
+        return [Datagram(helper.address, asked) for helper in helpers]
+
+    def _fail_probe(self, now: float) -> None:
+        probe = self._probe
+        self._probe = None
+        if probe is None:
+            return
+        member = self.members.get(probe.target)
+        if member is None or member.state >= State.SUSPECT:
+            return
+        self._change(probe.target, State.SUSPECT)
+        self._suspects[probe.target] = now + self.timing.suspicion
+
+    def _reconnect(self) -> list[Datagram]:
+        known = {member.address for member in self.alive()}
+        lost = {
+            member.address
+            for member in self.members.values()
+            if member.state == State.DEAD
+        }
+        lost.update(self.seeds)
+        candidates = sorted(lost - known - {self.me.address})
+        if not candidates:
+            return []
+        self._sequence += 1
+        to = self.rng.choice(candidates)
+        return [Datagram(to, self._ping(self._sequence))]
+
+    def _hear(
+        self,
+        sender: peers.Member,
+        gossip: tuple[peers.Member, ...],
+        now: float,
+    ) -> None:
+        self._merge(sender, now)
+        for member in gossip:
+            self._merge(member, now)
+
+    def _merge(self, heard: peers.Member, now: float) -> None:
+        if heard.number == self.me.number:
+            self._hear_of_me(heard)
+            return
+        known = self.members.get(heard.incarnation)
+        if known is not None and not _supersedes(heard, known):
+            return
+        self._store(heard)
+        if known is None:
+            self._bury_older(heard)
+        if heard.state == State.SUSPECT:
+            due = now + self.timing.suspicion
+            self._suspects.setdefault(heard.incarnation, due)
+            return
+        self._suspects.pop(heard.incarnation, None)
+
+    def _bury_older(self, heard: peers.Member) -> None:
+        if heard.state == State.DEAD:
+            return
+        for member in list(self.members.values()):
+            if member.number != heard.number:
+                continue
+            if member.start == heard.start or member.state == State.DEAD:
+                continue
+            self._change(member.incarnation, State.DEAD)
+
+    def _hear_of_me(self, heard: peers.Member) -> None:
+        if heard.start != self.me.start:
+            return
+        if heard.state == State.DEAD:
+            self.false_deaths += 1
+            start = self.rng.randbytes(START_BYTES)
+            fresh = attrs.evolve(self.me, start=start, refutation=0)
+            self._set_me(fresh)
+            return
+        if heard.state != State.SUSPECT:
+            return
+        if heard.refutation < self.me.refutation:
+            return
+        self._set_me(attrs.evolve(self.me, refutation=heard.refutation + 1))
+
+    def _set_me(self, me: peers.Member) -> None:
+        self.me = me
+        self.own_incarnations.add(me.incarnation)
+        self.version += 1
+        self._spread(me)
+
+    def _change(self, incarnation: bytes, state: State) -> None:
+        member = self.members.get(incarnation)
+        if member is None:
+            return
+        self._suspects.pop(incarnation, None)
+        self._store(attrs.evolve(member, state=int(state)))
+
+    def _store(self, member: peers.Member) -> None:
+        self.members.pop(member.incarnation, None)
+        self.members[member.incarnation] = member
+        self.version += 1
+        self._spread(member)
+        self._forget_dead()
+
+    def _forget_dead(self) -> None:
+        if len(self.members) <= MAX_DEAD:
+            return
+        for incarnation, member in self.members.items():
+            if member.state == State.DEAD:
+                del self.members[incarnation]
+                self.generations.pop(incarnation, None)
+                return
+
+    def _spread(self, member: peers.Member) -> None:
+        times = RETRANSMIT_FACTOR * (len(self.members) + 1).bit_length()
+        self._rumours[member.incarnation] = _Rumour(member, times)
+
+    def _gossip(self) -> tuple[peers.Member, ...]:
+        fresh_first = sorted(
+            self._rumours.values(), key=lambda rumour: -rumour.left
+        )
+        chosen = fresh_first[:MAX_GOSSIP]
+        for rumour in chosen:
+            rumour.left -= 1
+            if rumour.left <= 0:
+                del self._rumours[rumour.member.incarnation]
+        return tuple(rumour.member for rumour in chosen)
+
+
+def _supersedes(heard: peers.Member, known: peers.Member) -> bool:
+    if known.state == State.DEAD:
+        return False
+    if heard.state == State.DEAD:
+        return True
+    return (heard.refutation, heard.state) > (known.refutation, known.state)
--- /dev/null
+++ b/vanilladrum/core/placement.py
@@ -0,0 +1,50 @@
+"""Which entry host dispatches for a service, and which one is its witness."""
+
+import hashlib
+
+import attrs
+
+from vanilladrum.core import peers
+from vanilladrum.core import token as tokens
+
+
+@attrs.frozen
+class Pair:
+    """The two hosts that a fresh token names.
+
+    :param dispatcher: owner of the connection.
+    :param witness: None when the dispatcher is alone.
+    """
+
+    dispatcher: peers.Member
+    witness: peers.Member | None
+
+    @property
+    def witness_incarnation(self) -> bytes:
+        """Return the witness for a token, ``NO_HOST`` when there is none."""
+        if self.witness is None:
+            return tokens.NO_HOST
+        return self.witness.incarnation
+
+
+def score(service: int, incarnation: bytes) -> bytes:
+    """Return the rendezvous weight of a host for a service."""
+    return hashlib.blake2b(
+        service.to_bytes(2, "big") + incarnation, digest_size=8
+    ).digest()
+
+
+def choose_pair(service: int, alive: list[peers.Member]) -> Pair | None:
+    """Return the two hosts with the highest weights.
+
+    :returns: None when no host may take work.
+    """
+    ranked = sorted(
+        alive,
+        key=lambda member: score(service, member.incarnation),
+        reverse=True,
+    )
+    if not ranked:
+        return None
+    witness = ranked[1] if len(ranked) > 1 else None
+    return Pair(ranked[0], witness)
--- /dev/null
+++ b/vanilladrum/core/token.py
@@ -0,0 +1,149 @@
+"""Connection tokens: the state of a connection, sealed for its caller."""
+
+import hashlib
+import hmac
+import struct
+
+import attrs
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+
+FORMAT_VERSION = 1
+TAG_BYTES = 8
+MIN_KEY_BYTES = 16
+MAX_KEY_ID = 15
+NO_SERVER = 0
+NO_HOST = b"\0" * 6
+# format and key, issue time, service, home server, connection id, owner,
+# witness
+_BODY = struct.Struct("!BIHH8s6s6s")
+SEALED_BYTES = _BODY.size + TAG_BYTES
+
+
+@attrs.frozen
+class Token:
+    """State of one connection.
+
+    :param issued_at: wall-clock second of issue.
+    :param service: number of the service.
+    :param home: number of the home backend server, or ``NO_SERVER``.
+    :param connection: 8 random bytes that name the connection.
+    :param owner: incarnation of the entry host that alone may dispatch
+        non-idempotent requests of this connection.
+    :param witness: incarnation of the entry host that records such
+        requests before they are dispatched, or ``NO_HOST``.
+    """
+
+    issued_at: int
+    service: int
+    home: int
+    connection: bytes
+    owner: bytes
+    witness: bytes
+
+
+@attrs.frozen
+class Key:
+    """A sealing key that all entry hosts share.
+
+    :param key_id: 0 to 15, carried in clear in the token.
+    :param secret: at least 16 bytes.
+    """
+
+    key_id: int
+    secret: bytes = attrs.field(repr=False)
+
+
+@attrs.define
+class Keyring:
+    """The keys valid at one time; the active one seals, all open.
+
+    >>> ring = Keyring.of([Key(1, b"k" * 16)], active=1)
+    >>> caller = addresses.Address("127.0.0.1", 4000)
+    >>> token = Token(7, 1, 0, b"c" * 8, b"o" * 6, NO_HOST)
+    >>> ring.open(ring.seal(token, caller), caller) == token
+    True
+    """
+
+    keys: dict[int, Key]
+    active: int
+
+    @classmethod
+    def of(cls, keys: list[Key], active: int) -> "Keyring":
+        """Build a keyring.
+
+        :raises ConfigurationError: for a short key, an id out of range or
+            an active id without a key.
+        """
+        for key in keys:
+            if len(key.secret) < MIN_KEY_BYTES:
+                raise errors.ConfigurationError(
+                    f"key {key.key_id} is shorter than {MIN_KEY_BYTES} "
+                    "bytes; rotate to a longer one"
+                )
+            if not 0 <= key.key_id <= MAX_KEY_ID:
+                raise errors.ConfigurationError(
+                    f"key id {key.key_id} is out of range; use 0 to "
+                    f"{MAX_KEY_ID}"
+                )
+        by_id = {key.key_id: key for key in keys}
+        if active not in by_id:
+            raise errors.ConfigurationError(
+                f"active key {active} is not among the keys; add it or "
+                "name another"
+            )
+        return cls(by_id, active)
+
+    def seal(self, token: Token, caller: addresses.Address) -> bytes:
+        """Return the token with its authentication tag."""
+        key = self.keys[self.active]
+        body = _BODY.pack(
+            FORMAT_VERSION << 4 | key.key_id,
+            token.issued_at & 0xFFFFFFFF,
+            token.service,
+            token.home,
+            token.connection,
+            token.owner,
+            token.witness,
+        )
+        return body + _tag(key, body, caller)
+
+    def open(self, sealed: bytes, caller: addresses.Address) -> Token:
+        """Check and read a sealed token.
+
+        :raises TokenError: ``forged`` when it was never issued to this
+            caller, ``unknown_key`` when its key is not known here.
+        """
+        if len(sealed) != SEALED_BYTES:
+            raise errors.TokenError(
+                "forged", f"token has {len(sealed)} bytes; start afresh"
+            )
+        if sealed[0] >> 4 != FORMAT_VERSION:
+            raise errors.TokenError(
+                "forged", "token has another format; start afresh"
+            )
+        key = self.keys.get(sealed[0] & MAX_KEY_ID)
+        if key is None:
+            raise errors.TokenError(
+                "unknown_key", "token's key is not in force here; repeat"
+            )
+        body = sealed[: _BODY.size]
+        if not hmac.compare_digest(
+            _tag(key, body, caller), sealed[_BODY.size :]
+        ):
+            raise errors.TokenError(
+                "forged", "token was not issued to this caller; start afresh"
+            )
+        _, issued_at, service, home, connection, owner, witness = _BODY.unpack(
+            body
+        )
+        return Token(issued_at, service, home, connection, owner, witness)
+
+
+def _tag(key: Key, body: bytes, caller: addresses.Address) -> bytes:
+    digest = hashlib.blake2b(
+        body, digest_size=TAG_BYTES, key=key.secret, person=b"vanilladrum-con"
+    )
+    digest.update(caller.pack())
+    return digest.digest()
--- /dev/null
+++ b/vanilladrum/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Processes: sockets, timers and settings round the core."""
--- /dev/null
+++ b/vanilladrum/daemons/logs.py
@@ -0,0 +1,33 @@
+"""Structured logs: one JSON line per event on standard error."""
+
+import logging
+import sys
+
+import structlog
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def configure(level: str, **context: object) -> None:
+    """Send JSON lines to standard error, each with the given context."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelName(level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    structlog.contextvars.bind_contextvars(**context)
+    # aiohttp, websockets and aiomisc log through the standard library.
+    logging.basicConfig(
+        level=logging.WARNING,
+        format='{"event": "library", "logger": "%(name)s", '
+        '"level": "%(levelname)s"}',
+        stream=sys.stderr,
+    )
--- /dev/null
+++ b/vanilladrum/daemons/metrics.py
@@ -0,0 +1,118 @@
+"""Counters and HDR histograms of an entry host, over HTTP as JSON."""
+
+import resource
+
+import attrs
+from aiohttp import web
+from hdrh import histogram
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import dispatcher as dispatchers
+from vanilladrum.core import entryhost
+from vanilladrum.core import errors
+from vanilladrum.core import fleet as fleets
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+MICROSECONDS = 1_000_000
+
+
+def new_histogram() -> histogram.HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@attrs.define(eq=False)
+class Metrics:
+    """What an entry host measures.
+
+    :param name: the host's name.
+    """
+
+    name: str
+    core: entryhost.EntryHost
+    waits: dict[str, histogram.HdrHistogram] = attrs.field(factory=dict)
+    answers: dict[str, histogram.HdrHistogram] = attrs.field(factory=dict)
+    _runner: web.AppRunner | None = None
+
+    def waited(self, service: fleets.Service, job: dispatchers.Job) -> None:
+        """Record how long a request waited for a slot."""
+        _record(self.waits, _label(service, job), job.waited)
+
+    def answered(
+        self, service: fleets.Service, job: dispatchers.Job, seconds: float
+    ) -> None:
+        """Record how long a request took from arrival to answer."""
+        _record(self.answers, _label(service, job), seconds)
+
+    def snapshot(self) -> dict:
+        """Return everything as a JSON document."""
+        membership = self.core.membership
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "host": self.name,
+            "data_centre": membership.me.data_centre,
+            "incarnation": membership.me.incarnation.hex(),
+            "ready": self.core.ready,
+            "generation": self.core.generation,
+            "alive": sorted(each.number for each in membership.alive()),
+            "cpu_seconds": usage.ru_utime + usage.ru_stime,
+            "max_rss_bytes": usage.ru_maxrss * 1024,
+            "counters": dict(self.core.counters),
+            "waits": _encode(self.waits),
+            "answers": _encode(self.answers),
+        }
+
+    async def serve(self, address: addresses.Address) -> None:
+        """Answer ``GET /metrics`` and ``GET /ready``.
+
+        :raises SettingsError: when the endpoint cannot be bound.
+        """
+        app = web.Application()
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/ready", self._ready)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, address.host, address.port)
+        try:
+            await site.start()
+        except OSError as error:
+            raise errors.SettingsError(
+                f"TCP {address} cannot be bound ({error.strerror}); end "
+                "what holds it or choose another port"
+            ) from error
+
+    async def close(self) -> None:
+        """Stop answering."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _metrics(self, _: web.Request) -> web.Response:
+        return web.json_response(self.snapshot())
+
+    async def _ready(self, _: web.Request) -> web.Response:
+        status = 200 if self.core.ready else 503
+        return web.json_response({"ready": self.core.ready}, status=status)
+
+
+def _label(service: fleets.Service, job: dispatchers.Job) -> str:
+    return f"{service.name}/{job.priority.name.lower()}"
+
+
+def _record(
+    histograms: dict[str, histogram.HdrHistogram],
+    label: str,
+    seconds: float,
+) -> None:
+    if label not in histograms:
+        histograms[label] = new_histogram()
+    microseconds = int(seconds * MICROSECONDS)
+    histograms[label].record_value(max(LOWEST_US, microseconds))
+
+
+def _encode(histograms: dict[str, histogram.HdrHistogram]) -> dict:
+    return {
+        label: each.encode().decode("ascii")
+        for label, each in histograms.items()
+    }
--- /dev/null
+++ b/vanilladrum/daemons/settings.py
@@ -0,0 +1,156 @@
+"""Settings of the daemons, read from TOML files."""
+
+import pathlib
+import tomllib
+from typing import TypeVar
+
+import attrs
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import document
+from vanilladrum.core import errors
+
+MIN_SECRET_BYTES = 16
+MAX_HOST_NUMBER = 65535
+T = TypeVar("T")
+
+
+@attrs.frozen
+class Host:
+    """Who an entry host is.
+
+    :param number: unique in the fleet, 1 to 65535.
+    """
+
+    name: str
+    number: int
+    data_centre: str
+
+
+@attrs.frozen
+class Listen:
+    """Where an entry host listens.
+
+    :param peer: UDP and TCP endpoint for other entry hosts.
+    :param tunnel: UDP endpoint for datagrams behind PROXY protocol v2.
+    :param direct: whether to bind the service addresses as well.
+    :param metrics: HTTP endpoint for counters and histograms.
+    """
+
+    peer: addresses.Address
+    tunnel: addresses.Address | None = None
+    direct: bool = False
+    metrics: addresses.Address | None = None
+
+
+@attrs.frozen
+class Platform:
+    """How to reach the platform's object API.
+
+    :param url: its address, with an IP number.
+    :param timeout: seconds until a call is given up.
+    """
+
+    url: str
+    timeout: float = 2.0
+
+
+@attrs.frozen
+class Security:
+    """Keys between entry hosts.
+
+    :param peer_secret: hexadecimal digits, the same on all entry hosts.
+    """
+
+    peer_secret: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Stop:
+    """Limits of a planned stop, in seconds."""
+
+    drain: float = 20.0
+
+
+@attrs.frozen
+class EntryHostSettings:
+    """Settings of the entry-host daemon."""
+
+    host: Host
+    listen: Listen
+    platform: Platform
+    security: Security
+    stop: Stop = attrs.field(factory=Stop)
+    seeds: tuple[addresses.Address, ...] = ()
+    log_level: str = "info"
+
+
+def read(kind: type[T], path: str) -> T:
+    """Read a settings file.
+
+    :raises SettingsError: naming file, key and remedy.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f"{path}: cannot be read ({error}); name a readable TOML file"
+        ) from error
+    try:
+        plain = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise errors.SettingsError(
+            f"{path}: is no TOML ({error}); correct that line"
+        ) from error
+    return document.from_plain(kind, plain, path, errors.SettingsError)
+
+
+def read_entry_host(path: str) -> EntryHostSettings:
+    """Read and check the settings of an entry host.
+
+    :raises SettingsError: naming file, key and remedy.
+    """
+    settings = read(EntryHostSettings, path)
+    _check_ports(settings, path)
+    if not 1 <= settings.host.number <= MAX_HOST_NUMBER:
+        raise errors.SettingsError(
+            f"{path}: key 'host.number' is {settings.host.number}; "
+            f"use 1 to {MAX_HOST_NUMBER}"
+        )
+    if settings.listen.tunnel is None and not settings.listen.direct:
+        raise errors.SettingsError(
+            f"{path}: key 'listen' has neither 'tunnel' nor 'direct'; "
+            "set one, or no caller reaches this host"
+        )
+    _check_secret(settings, path)
+    return settings
+
+
+def _check_ports(settings: EntryHostSettings, path: str) -> None:
+    seen: dict[addresses.Address, str] = {}
+    for key in ("peer", "tunnel", "metrics"):
+        address = getattr(settings.listen, key)
+        if address is None:
+            continue
+        if address.port == 0:
+            raise errors.SettingsError(
+                f"{path}: key 'listen.{key}' has port 0; use 1 to 65535"
+            )
+        if address in seen:
+            raise errors.SettingsError(
+                f"{path}: key 'listen.{key}' repeats {address} of "
+                f"'listen.{seen[address]}'; give each its own port"
+            )
+        seen[address] = key
+
+
+def _check_secret(settings: EntryHostSettings, path: str) -> None:
+    try:
+        secret = bytes.fromhex(settings.security.peer_secret)
+    except ValueError:
+        secret = b""
+    if len(secret) < MIN_SECRET_BYTES:
+        raise errors.SettingsError(
+            f"{path}: key 'security.peer_secret' is not at least "
+            f"{2 * MIN_SECRET_BYTES} hexadecimal digits; make a longer one"
+        )
--- /dev/null
+++ b/vanilladrum/daemons/sockets.py
@@ -0,0 +1,75 @@
+"""Datagram endpoints on uvloop."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+
+BUFFER_BYTES = 4 * 1024 * 1024
+Receiver = Callable[[bytes, addresses.Address], None]
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """Hands each datagram to a callback.
+
+    :param receive: called with the datagram and its source.
+    """
+
+    def __init__(self, receive: Receiver) -> None:
+        self.receive = receive
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, source: tuple) -> None:
+        """Pass a datagram on."""
+        self.receive(data, addresses.Address(source[0], source[1]))
+
+    def error_received(self, error: OSError) -> None:
+        """Ignore an ICMP error; time-outs tell what it would."""
+
+    def send(self, data: bytes, to: addresses.Address) -> None:
+        """Send a datagram."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(data, (to.host, to.port))
+
+    @property
+    def local(self) -> addresses.Address:
+        """Return the address that the socket is bound to."""
+        host, port = self.transport.get_extra_info("sockname")[:2]
+        return addresses.Address(host, port)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+async def open_endpoint(
+    address: addresses.Address, receive: Receiver
+) -> Endpoint:
+    """Bind a datagram socket.
+
+    :raises SettingsError: when the address cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    try:
+        bound.bind((address.host, address.port))
+    except OSError as error:
+        bound.close()
+        raise errors.SettingsError(
+            f"UDP {address} cannot be bound ({error.strerror}); end what "
+            "holds it or choose another port"
+        ) from error
+    loop = asyncio.get_running_loop()
+    _, endpoint = await loop.create_datagram_endpoint(
+        lambda: Endpoint(receive), sock=bound
+    )
+    return endpoint
--- /dev/null
+++ b/vanilladrum/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: plans, printing, applying, reports."""
--- /dev/null
+++ b/vanilladrum/standins/caller.py
@@ -0,0 +1,200 @@
+"""A caller with one long connection, speaking CoAP."""
+
+import asyncio
+import collections
+import enum
+import random
+
+import aiocoap
+import attrs
+from aiocoap import optiontypes
+from aiocoap.numbers import codes
+from aiocoap.numbers import optionnumbers
+from aiocoap.numbers import types
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+from vanilladrum.daemons import sockets
+from vanilladrum.standins import content
+from vanilladrum.wire import coap
+
+MAX_RENEWALS = 8
+MAX_TRANSMISSIONS = 6
+TOKEN_BYTES = 4
+MAX_MID = 0xFFFF
+
+
+class Told(enum.Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    SILENT = "silent"
+    OTHER = "other"
+
+
+@attrs.frozen
+class Ending:
+    """The end of one request.
+
+    :param renewals: how often the token had to be renewed for it.
+    """
+
+    told: Told
+    message: aiocoap.Message | None = None
+    renewals: int = 0
+    transmissions: int = 1
+
+
+@attrs.define(eq=False)
+class Connection:
+    """One connection of a caller.
+
+    :param service: address of the service.
+    :param ack_timeout: seconds until the first retransmission; doubles.
+    """
+
+    service: addresses.Address
+    rng: random.Random
+    ack_timeout: float = 0.5
+    token: bytes = b""
+    endpoint: sockets.Endpoint | None = None
+    counters: collections.Counter = attrs.field(factory=collections.Counter)
+    _waiting: dict[bytes, asyncio.Future] = attrs.field(factory=dict)
+    _mid: int = 0
+    _exchange: int = 0
+
+    async def open(self, host: str = "127.0.0.1") -> None:
+        """Open the socket."""
+        self._mid = self.rng.randrange(MAX_MID)
+        self._exchange = self.rng.randrange(2**31)
+        self.endpoint = await sockets.open_endpoint(
+            addresses.Address(host, 0), self._received
+        )
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.endpoint is not None:
+            self.endpoint.close()
+
+    async def request(
+        self,
+        code: codes.Code,
+        path: str,
+        payload: bytes = b"",
+        block: int | None = None,
+        deadline: float | None = None,
+    ) -> Ending:
+        """Send a request and wait for its end."""
+        transmissions = 0
+        for renewals in range(MAX_RENEWALS):
+            message = self._message(code, path, payload, block, deadline)
+            reply, sent = await self._exchange_once(message)
+            transmissions += sent
+            if reply is None:
+                return Ending(Told.SILENT, None, renewals, transmissions)
+            if reply.code != codes.UNAUTHORIZED:
+                told = _told(reply)
+                return Ending(told, reply, renewals, transmissions)
+        return Ending(Told.NOT_RUN, reply, MAX_RENEWALS, transmissions)
+
+    async def fetch(
+        self, path: str, deadline: float | None = None
+    ) -> tuple[Ending, bytes]:
+        """Fetch a drawing block by block; restart when its ETag changes."""
+        body = b""
+        number = 0
+        tag = None
+        while True:
+            ending = await self.request(
+                codes.GET, path, block=number, deadline=deadline
+            )
+            if ending.told != Told.ANSWERED:
+                return ending, body
+            reply = ending.message
+            if tag is not None and reply.opt.etag != tag:
+                self.counters["restarted_transfers"] += 1
+                body, number, tag = b"", 0, None
+                continue
+            tag = reply.opt.etag
+            body += reply.payload
+            if reply.opt.block2 is None or not reply.opt.block2.more:
+                return ending, body
+            number += 1
+
+    def _message(
+        self,
+        code: codes.Code,
+        path: str,
+        payload: bytes,
+        block: int | None,
+        deadline: float | None,
+    ) -> aiocoap.Message:
+        self._mid = (self._mid + 1) & MAX_MID
+        self._exchange = (self._exchange + 1) & 0xFFFFFFFF
+        message = aiocoap.Message(
+            code=code,
+            uri_path=path.strip("/").split("/"),
+            payload=payload,
+            _mtype=types.CON,
+            _mid=self._mid,
+            _token=self._exchange.to_bytes(TOKEN_BYTES, "big"),
+        )
+        if self.token:
+            message.opt.echo = self.token
+        if block is not None:
+            message.opt.block2 = optiontypes.BlockOption.BlockwiseTuple(
+                block, False, content.BLOCK_EXPONENT
+            )
+        if deadline is not None:
+            number = optionnumbers.OptionNumber(coap.DEADLINE)
+            milliseconds = round(deadline * 1000).to_bytes(3, "big")
+            value = milliseconds.lstrip(b"\0")
+            message.opt.add_option(optiontypes.OpaqueOption(number, value))
+        return message
+
+    async def _exchange_once(
+        self, message: aiocoap.Message
+    ) -> tuple[aiocoap.Message | None, int]:
+        datagram = message.encode()
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[message.token] = future
+        timeout = self.ack_timeout * self.rng.uniform(1.0, 1.5)
+        try:
+            for sent in range(1, MAX_TRANSMISSIONS + 1):
+                self.endpoint.send(datagram, self.service)
+                done, _ = await asyncio.wait([future], timeout=timeout)
+                if done:
+                    return future.result(), sent
+                timeout *= 2
+            return None, MAX_TRANSMISSIONS
+        finally:
+            del self._waiting[message.token]
+
+    def _received(self, data: bytes, source: addresses.Address) -> None:
+        if source != self.service:
+            self.counters["wrong_source"] += 1
+            return
+        try:
+            message = coap.decode(data)
+        except errors.PacketError:
+            self.counters["malformed"] += 1
+            return
+        future = self._waiting.get(message.token)
+        if future is None or future.done():
+            self.counters["late"] += 1
+            return
+        if message.opt.echo:
+            self.token = message.opt.echo
+        future.set_result(message)
+
+
+def _told(reply: aiocoap.Message) -> Told:
+    if reply.code.is_successful():
+        return Told.ANSWERED
+    if reply.code == codes.SERVICE_UNAVAILABLE:
+        return Told.NOT_RUN
+    if reply.code == codes.GATEWAY_TIMEOUT:
+        return Told.UNKNOWN
+    return Told.OTHER
--- /dev/null
+++ b/vanilladrum/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs and clients for the protocols spoken outside."""
