--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,234 @@
+"""Shared fixtures: a fake clock and a few cores joined by fake messages."""
+
+from collections.abc import Callable
+import random
+
+import attrs
+import pytest
+
+from vanilladrum.core import actions
+from vanilladrum.core import address as addresses
+from vanilladrum.core import entryhost
+from vanilladrum.core import fleet as fleets
+from vanilladrum.core import membership as memberships
+from vanilladrum.core import peers
+from vanilladrum.core import request as requests
+from vanilladrum.wire import coap
+
+CALLER = addresses.Address("127.0.0.1", 40000)
+SERVICE = addresses.Address("127.0.0.1", 5683)
+PATTERNS = addresses.Address("127.0.0.1", 5684)
+GET = 1
+POST = 2
+
+
+@attrs.define
+class FakeClock:
+    """Time that moves only when a test says so."""
+
+    now: float = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now + 1_000_000
+
+
+def make_server(number: int, slots: int = 2, service: str = "b"):
+    return fleets.Server(
+        f"{service}-{number}",
+        number,
+        "bilbao",
+        addresses.Address("127.0.0.1", 9000 + 100 * ord(service) + number),
+        slots,
+    )
+
+
+def make_fleet(generation: int = 1, servers: int = 2, **extra) -> fleets.Fleet:
+    bookings = fleets.Service(
+        "bookings",
+        1,
+        SERVICE,
+        tuple(make_server(n) for n in range(1, servers + 1)),
+        routes=(fleets.Route("/drawings", fleets.Priority.BULK),),
+        **extra,
+    )
+    patterns = fleets.Service(
+        "patterns", 2, PATTERNS, (make_server(1, service="p"),)
+    )
+    return fleets.Fleet(
+        generation,
+        f"op-{generation}",
+        ("bilbao",),
+        (bookings, patterns),
+        (fleets.SealingKey(0, "ab" * 16),),
+        0,
+    )
+
+
+@attrs.define(eq=False)
+class Hosts:
+    """Cores of entry hosts; their messages are delivered at once.
+
+    A test may cut hosts off, and drop messages by ``lose``.
+    """
+
+    clock: FakeClock
+    cores: dict[int, entryhost.EntryHost] = attrs.field(factory=dict)
+    to_caller: list = attrs.field(factory=list)
+    to_server: list = attrs.field(factory=list)
+    cancelled: list = attrs.field(factory=list)
+    frozen: set[int] = attrs.field(factory=set)
+    lose: Callable[[int, int, object], bool] = lambda a, b, m: False
+    mid: int = 0
+
+    def add(self, number: int, fleet: fleets.Fleet | None = None):
+        rng = random.Random(number)
+        me = peers.Member(
+            number, rng.randbytes(4), self.peer_address(number), "bilbao"
+        )
+        core = entryhost.EntryHost(
+            memberships.Membership(me, rng), self.clock, rng
+        )
+        core.configure(fleet or make_fleet())
+        core.joined = True
+        for other in self.cores.values():
+            other.merge_view(core.view())
+            core.merge_view(other.view())
+        self.cores[number] = core
+        return core
+
+    def peer_address(self, number: int) -> addresses.Address:
+        return addresses.Address("127.0.0.1", 7000 + number)
+
+    def dispatcher(self, service: int = 0) -> int:
+        core = next(iter(self.cores.values()))
+        pair = core.pair(core.fleet.services[service])
+        return pair.dispatcher.number
+
+    def witness(self, service: int = 0) -> int:
+        core = next(iter(self.cores.values()))
+        return core.pair(core.fleet.services[service]).witness.number
+
+    def perform(self, number: int, wanted: list) -> None:
+        for action in wanted:
+            if isinstance(action, actions.SendToCaller):
+                self.to_caller.append((number, action))
+            elif isinstance(action, actions.SendToServer):
+                self.to_server.append((number, action))
+            elif isinstance(action, actions.CancelAtServer):
+                self.cancelled.append((number, action))
+            else:
+                self.deliver(number, action)
+
+    def deliver(self, source: int, action: actions.SendToPeer) -> None:
+        target = action.to.port - 7000
+        if target not in self.cores or target in self.frozen:
+            return
+        if self.lose(source, target, action.message):
+            return
+        core = self.cores[target]
+        if isinstance(action.message, peers.Forward):
+            event = self.packet_event(action.message)
+        else:
+            event = actions.PeerMessage(
+                self.peer_address(source), action.message
+            )
+        self.perform(target, core.handle(event))
+
+    def packet_event(self, message: peers.Forward) -> actions.CallerPacket:
+        received = coap.read_request(message.raw)
+        path = coap.reply_path(
+            received, message.caller, message.service, message.via
+        )
+        return actions.CallerPacket(
+            message.raw, received.request, path, message.hops, message.judge
+        )
+
+    def raw(
+        self,
+        code: int = GET,
+        path: str = "/slots",
+        token: bytes = b"",
+        payload: bytes = b"",
+        **extra,
+    ) -> bytes:
+        """Return a new request datagram."""
+        self.mid += 1
+        options = [requests.Option(11, path.strip("/").encode())]
+        if token:
+            options.append(requests.Option(coap.ECHO, token))
+        request = requests.Request(
+            code,
+            code != POST,
+            path,
+            b"",
+            options=tuple(options),
+            payload=payload,
+            **extra,
+        )
+        return coap.encode_request(self.mid, b"t", request, 5.0)
+
+    def send(
+        self,
+        number: int,
+        raw: bytes,
+        caller: addresses.Address = CALLER,
+        service: addresses.Address = SERVICE,
+    ) -> None:
+        """Let a caller's datagram land on an entry host."""
+        message = peers.Forward(raw, caller, service, None, 0, False)
+        event = self.packet_event(message)
+        self.perform(number, self.cores[number].handle(event))
+
+    def connect(self, number: int, **where) -> bytes:
+        """Return a token for a new connection."""
+        self.send(number, self.raw(), **where)
+        return self.told().token
+
+    def told(self) -> requests.Response:
+        """Return what a caller was told last."""
+        return self.to_caller[-1][1].response
+
+    def answer(
+        self, index: int = -1, declined: bool = False, code: int = 69
+    ) -> None:
+        """Let a backend server answer an attempt."""
+        number, attempt = self.to_server[index]
+        reply = actions.ServerReply(
+            attempt.attempt,
+            requests.Response(
+                requests.Outcome.ANSWER,
+                code=code,
+                payload=attempt.request.payload,
+            ),
+            declined,
+        )
+        self.perform(number, self.cores[number].handle(reply))
+
+    def run(self, seconds: float, step: float = 0.01) -> None:
+        """Let time pass and run the timers that fall due."""
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.now += step
+            for number in list(self.cores):
+                if number in self.frozen:
+                    continue
+                core = self.cores[number]
+                if core.next_timer() <= self.clock.now:
+                    self.perform(number, core.tick())
+
+
+@pytest.fixture
+def clock() -> FakeClock:
+    return FakeClock()
+
+
+@pytest.fixture
+def hosts(clock) -> Hosts:
+    """Three entry hosts that know each other."""
+    found = Hosts(clock)
+    for number in (1, 2, 3):
+        found.add(number)
+    return found
--- /dev/null
+++ b/tests/test_entryhost.py
@@ -0,0 +1,210 @@
+"""Routing, tokens, configuration and the limits of an entry host."""
+
+import ast
+import pathlib
+
+import attrs
+import conftest
+from conftest import make_fleet
+from conftest import PATTERNS
+from conftest import POST
+import pytest
+
+import vanilladrum.core
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+from vanilladrum.core import fleet as fleets
+from vanilladrum.core import request as requests
+
+Outcome = requests.Outcome
+WITH_IO = {
+    "aiohttp",
+    "asyncio",
+    "io",
+    "logging",
+    "os",
+    "pathlib",
+    "selectors",
+    "socket",
+    "ssl",
+    "subprocess",
+    "threading",
+    "time",
+    "uvloop",
+    "websockets",
+}
+
+
+def test_core_imports_nothing_with_io():
+    folder = pathlib.Path(vanilladrum.core.__file__).parent
+    found = set()
+    for path in folder.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Import):
+                found.update(each.name.split(".")[0] for each in node.names)
+            if isinstance(node, ast.ImportFrom):
+                found.add(node.module.split(".")[0])
+    assert found & WITH_IO == set()
+    assert "attrs" in found
+
+
+def test_get_is_answered_through_any_host(hosts):
+    token = hosts.connect(1)
+    for number in hosts.cores:
+        hosts.send(number, hosts.raw(token=token, payload=b"%d" % number))
+        hosts.answer()
+        assert hosts.told().payload == b"%d" % number
+
+
+def test_token_of_another_caller_is_renewed_not_served(hosts):
+    token = hosts.connect(1)
+    thief = addresses.Address("127.0.0.1", 40001)
+    hosts.send(1, hosts.raw(POST, token=token), caller=thief)
+    assert hosts.told().outcome == Outcome.RENEW_TOKEN
+    assert hosts.to_server == []
+
+
+def test_token_of_another_service_is_renewed_not_served(hosts):
+    token = hosts.connect(1)
+    hosts.send(1, hosts.raw(POST, token=token), service=PATTERNS)
+    assert hosts.told().outcome == Outcome.RENEW_TOKEN
+    assert hosts.to_server == []
+
+
+def test_requests_reach_servers_of_their_service_only(hosts):
+    for service, name in ((conftest.SERVICE, 0), (PATTERNS, 1)):
+        token = hosts.connect(2, service=service)
+        hosts.send(3, hosts.raw(token=token), service=service)
+        servers = hosts.cores[1].fleet.services[name].servers
+        assert hosts.to_server[-1][1].server in [s.address for s in servers]
+
+
+def test_address_without_service_gets_nothing(hosts):
+    unknown = addresses.Address("127.0.0.1", 1)
+    hosts.send(1, hosts.raw(), service=unknown)
+    assert hosts.to_caller == []
+
+
+def test_unknown_key_is_met_with_silence(hosts):
+    token = bytearray(hosts.connect(1))
+    token[0] |= 0x0F
+    told = len(hosts.to_caller)
+    hosts.send(1, hosts.raw(POST, token=bytes(token)))
+    assert len(hosts.to_caller) == told
+
+
+def test_key_rotation_keeps_connections(hosts):
+    token = hosts.connect(1)
+    old = make_fleet(1)
+    keys = (*old.keys, fleets.SealingKey(1, "cd" * 16))
+    for generation, active in ((2, 0), (3, 1)):
+        for core in hosts.cores.values():
+            core.configure(
+                attrs.evolve(
+                    old, generation=generation, keys=keys, active_key=active
+                )
+            )
+        hosts.send(1, hosts.raw(token=token))
+        hosts.answer()
+        assert hosts.told().outcome == Outcome.ANSWER
+
+
+def test_older_generation_never_comes_back(hosts):
+    core = hosts.cores[1]
+    assert core.configure(make_fleet(5))
+    for stale in (4, 5, 1):
+        assert not core.configure(make_fleet(stale, servers=1))
+        assert core.generation == 5
+        assert len(core.fleet.services[0].servers) == 2
+
+
+def test_refused_configuration_leaves_what_is_in_force(hosts):
+    core = hosts.cores[1]
+    bad = attrs.evolve(make_fleet(9), data_centres=("oviedo",))
+    with pytest.raises(errors.ConfigurationError, match="bilbao"):
+        core.configure(bad)
+    assert core.generation == 1
+
+
+def test_leaving_server_gets_nothing_new_but_ends_transfers(hosts):
+    token = hosts.connect(1)
+    hosts.send(1, hosts.raw(token=token))
+    hosts.answer()
+    pinned = hosts.told().token
+    home = hosts.to_server[-1][1].server
+    fleet = make_fleet(2)
+    servers = tuple(
+        attrs.evolve(each, state=fleets.ServerState.LEAVING)
+        if each.address == home
+        else each
+        for each in fleet.services[0].servers
+    )
+    service = attrs.evolve(fleet.services[0], servers=servers)
+    fleet = attrs.evolve(fleet, services=(service, fleet.services[1]))
+    for core in hosts.cores.values():
+        core.configure(fleet)
+    for _ in range(10):
+        hosts.send(1, hosts.raw(token=pinned))
+        assert hosts.to_server[-1][1].server != home
+        hosts.answer()
+    block = requests.Option(23, b"\x16")
+    raw = hosts.raw(token=pinned)
+    event = hosts.packet_event(
+        conftest.peers.Forward(
+            raw, conftest.CALLER, conftest.SERVICE, None, 0, False
+        )
+    )
+    request = attrs.evolve(event.request, options=(block,), block=1)
+    dispatcher = hosts.dispatcher()
+    event = attrs.evolve(event, request=request)
+    hosts.perform(dispatcher, hosts.cores[dispatcher].handle(event))
+    assert hosts.to_server[-1][1].server == home
+
+
+def test_queue_drops_what_is_overdue_before_dispatch(hosts):
+    token = hosts.connect(1)
+    for _ in range(6):
+        hosts.send(1, hosts.raw(POST, token=token))
+    assert len(hosts.to_server) == 4
+    hosts.run(3.0)
+    late = [a for _, a in hosts.to_caller if a.response.retry_after]
+    assert late == []
+    hosts.run(2.5)
+    late = [a for _, a in hosts.to_caller if a.response.retry_after]
+    assert {a.response.outcome for a in late} <= {Outcome.NOT_RUN}
+    dispatched = {a.request.exchange for _, a in hosts.to_server}
+    assert not dispatched & {a.exchange for a in late}
+
+
+def test_urgent_goes_before_bulk_and_bulk_is_not_starved(hosts, clock):
+    token = hosts.connect(1)
+    for _ in range(4):
+        hosts.send(1, hosts.raw(token=token))
+    hosts.send(1, hosts.raw(path="/drawings", token=token))
+    hosts.send(1, hosts.raw(token=token))
+    hosts.answer(0)
+    assert hosts.to_server[-1][1].request.path == "/slots"
+    clock.now += 1.0
+    hosts.send(1, hosts.raw(token=token))
+    hosts.answer(1)
+    assert hosts.to_server[-1][1].request.path == "/drawings"
+
+
+def test_hops_are_bounded_when_views_differ(hosts):
+    token = hosts.connect(1)
+    raw = hosts.raw(POST, token=token)
+    owner = hosts.dispatcher()
+    incarnation = hosts.cores[owner].membership.me.incarnation
+    del hosts.cores[owner]
+    left = list(hosts.cores)
+    for here, there in (left, left[::-1]):
+        # Each believes that the other one is the owner.
+        members = hosts.cores[here].membership.members
+        other = hosts.cores[there].membership.me
+        members[incarnation] = attrs.evolve(
+            members[incarnation], address=other.address
+        )
+    hosts.send(left[0], raw)
+    assert (
+        sum(core.counters["hop_limit"] for core in hosts.cores.values()) == 1
+    )
