Model-check ownership; refuse bad input with file, key and remedy

The model runs the shipped transition functions of owner and witness against a network that keeps, copies, reorders and loses, crashes of all three roles and hand-over at any moment.

Two faults it pointed at. A first model let an owner take a copy of an old attempt's decline: the shipped code ignores ended attempts, which is now a rule of the model with its own mutant. A stop cut short by its drain limit handed over only final requests, so the heir would have told that a running one never ran: what had begun is now handed over as unknown, with a test.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 clean:
 	rm -rf $(VENV)
+
+model: $(STAMP)
+	$(PYTHON) -m model
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for the model checker."""
--- a/tests/test_entryhost.py
+++ b/tests/test_entryhost.py
@@ -205,6 +205,5 @@
             members[incarnation], address=other.address
         )
     hosts.send(left[0], raw)
-    assert (
-        sum(core.counters["hop_limit"] for core in hosts.cores.values()) == 1
-    )
+    hit = [core.counters["hop_limit"] for core in hosts.cores.values()]
+    assert sum(hit) == 1
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,38 @@
+"""The protocol model: the shipped rules hold, each mutant is caught."""
+
+import minicheck
+import pytest
+
+from model import __main__ as checker
+from model import ownership
+
+
+def test_shipped_rules_hold_for_one_request():
+    result = minicheck.check_safety(
+        ownership.protocol(1, ownership.Rules())
+    )
+    held = {
+        name: found["holds"] for name, found in result["properties"].items()
+    }
+    assert result["exhaustive"]
+    assert held == dict.fromkeys(ownership.INVARIANTS, True)
+
+
+def test_everyone_is_told_something():
+    result = minicheck.check_liveness(
+        ownership.protocol(1, ownership.Rules())
+    )
+    assert result["holds"] is True
+
+
+@pytest.mark.parametrize(
+    "rules",
+    [
+        rules
+        for rules in (*ownership.MUTANTS, ownership.SILENT_MUTANT)
+        if rules.breaks != "answer_belongs"
+    ],
+    ids=lambda rules: rules.name,
+)
+def test_mutant_is_caught(rules):
+    assert checker.catches(ownership.protocol(1, rules), rules.breaks)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,12 +1,12 @@
 """At most once: owner, witness, crash, pause, copies, hand-over."""
 
+import conftest
+from conftest import POST
 import pytest
 
 from vanilladrum.core import handover
 from vanilladrum.core import peers
 from vanilladrum.core import request as requests
-import conftest
-from conftest import POST
 
 Outcome = requests.Outcome
 
@@ -152,6 +152,22 @@
     assert len(hosts.to_server) == 1
 
 
+def test_stop_cut_short_hands_over_what_began_as_unknown(hosts):
+    began = hosts.raw(POST, token=hosts.connect(1))
+    hosts.send(1, began)
+    owner = hosts.dispatcher()
+    hosts.perform(owner, hosts.cores[owner].start_leaving())
+    handed = handover.export(hosts.cores[owner])
+    heir = hosts.cores[others(hosts, owner)[0]]
+    handover.adopt(heir, handed)
+    del hosts.cores[owner]
+    for core in hosts.cores.values():
+        core.heirs[handed.sender] = heir.membership.me.incarnation
+        core.membership.bury(handed.sender)
+    hosts.send(heir.membership.me.number, began)
+    assert hosts.told().outcome == Outcome.UNKNOWN
+
+
 def test_stopping_owner_turns_new_requests_to_the_next(hosts):
     token = hosts.connect(1)
     owner = hosts.dispatcher()
--- a/vanilladrum/core/document.py
+++ b/vanilladrum/core/document.py
@@ -106,7 +106,7 @@
     """Name the first offending key of a structuring error."""
     path: list[str] = []
     while isinstance(problem, cattrs_errors.BaseValidationError):
-        inner = problem.exceptions[0]
+        inner = _most_telling(problem.exceptions)
         for note in getattr(inner, "__notes__", ()):
             if isinstance(note, cattrs_errors.AttributeValidationNote):
                 path.append(str(note.name))
@@ -124,6 +124,14 @@
     return f"key {key!r}: {problem}; correct the value"
 
 
+def _most_telling(problems: typing.Sequence) -> BaseException:
+    """Prefer an unknown key: it is mostly the misspelt missing one."""
+    for problem in problems:
+        if isinstance(problem, cattrs_errors.ForbiddenExtraKeysError):
+            return problem
+    return problems[0]
+
+
 def read_fleet(plain: object, where: str) -> fleets.Fleet:
     """Read and validate a whole configuration.
 
--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -317,8 +317,10 @@
             told = closed.get(key)
             if told is None:
                 self._renew(packet, service, token)
-                return
-            self._reply(packet, told)
+            elif told.outcome == requests.Outcome.UNKNOWN:
+                self._reply(packet, self._unknown(packet, service, token))
+            else:
+                self._reply(packet, told)
             return
         now = self.clock.monotonic()
         judgement = self.witness.judge(token.owner, key, now)
@@ -371,6 +373,7 @@
             return
         entry.job = self._job(packet, service, token, now)
         if packet.request.idempotent:
+            entry.stage = Stage.QUEUED
             self._admit(entry, service)
             return
         if not self._may_own(service, token):
@@ -472,7 +475,6 @@
             self.counters["shed"] += 1
             self._drop(entry, service)
             return
-        entry.stage = Stage.QUEUED
         dispatcher.enqueue(job)
         self._pump(service, now)
         if not job.queued:
@@ -501,7 +503,7 @@
     def _refuse(
         self, entry: tables.Entry, response: requests.Response
     ) -> None:
-        entry.stage = Stage.REFUSED
+        entry.stage = ownership.advance(entry.stage, Event.DROPPED).stage
         self._settle(entry, response)
 
     def _settle(
@@ -631,7 +633,9 @@
             self._out.append(
                 actions.CancelAtServer(number, loser.server.address)
             )
-        entry.stage = Stage.ANSWERED
+        entry.stage = ownership.advance(
+            entry.stage, Event.SERVER_ANSWERED
+        ).stage
         if self.on_answer:
             self.on_answer(service, job, self.clock.monotonic() - job.arrived)
         token = self._refresh(
--- a/vanilladrum/core/fleet.py
+++ b/vanilladrum/core/fleet.py
@@ -7,6 +7,7 @@
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
+from vanilladrum.core import policy as policies
 from vanilladrum.core import token as tokens
 
 NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
@@ -202,6 +203,7 @@
 def _check_service(service: Service, data_centres: tuple[str, ...]) -> None:
     where = f"service {service.name!r}"
     _check_name("service.name", service.name)
+    policies.find(service.policy)
     _check_range(f"{where}: number", service.number, 1, MAX_NUMBER)
     _check_range(f"{where}: address port", service.address.port, 1, 65535)
     _unique(
--- a/vanilladrum/core/handover.py
+++ b/vanilladrum/core/handover.py
@@ -14,8 +14,8 @@
     """Return everything an heir needs to judge in a host's place."""
     own = host.membership.own_incarnations
     outcomes = [
-        _outcome(entry.owner, entry.key, entry.response)
-        for entry in host.table.finals()
+        _outcome(entry.owner, entry.key, response)
+        for entry, response in host.table.outcomes().items()
     ]
     for owner, told in host.inherited.items():
         outcomes.extend(
--- a/vanilladrum/core/ownership.py
+++ b/vanilladrum/core/ownership.py
@@ -60,6 +60,7 @@
 
 _OWNER = {
     (Stage.NEW, Event.ARRIVED): Transition(Stage.RECORDING, Effect.RECORD),
+    (Stage.NEW, Event.DROPPED): Transition(Stage.REFUSED, Effect.TELL),
     (Stage.RECORDING, Event.ARRIVED): Transition(
         Stage.RECORDING, Effect.RECORD
     ),
@@ -103,6 +104,19 @@
     return _OWNER.get((stage, event), Transition(stage, Effect.NOTHING))
 
 
+def handed_over(stage: Stage) -> Stage:
+    """Return the stage in which a request goes to the heir of its owner.
+
+    The owner has ended. What it had begun and not finished may have run;
+    what it had not begun never will.
+    """
+    if stage in FINAL:
+        return stage
+    if stage in (Stage.QUEUED, Stage.DISPATCHED):
+        return Stage.UNKNOWN
+    return Stage.REFUSED
+
+
 class Judgement(enum.Enum):
     """What a witness knows of a request whose owner is lost."""
 
--- a/vanilladrum/core/table.py
+++ b/vanilladrum/core/table.py
@@ -77,13 +77,20 @@
             and entry.stage != ownership.Stage.ABANDONED
         )
 
-    def finals(self) -> list[Entry]:
-        """Return the non-idempotent requests with their final answers."""
-        return [
-            entry
-            for entry in self.entries.values()
-            if entry.stage in ownership.FINAL
-        ]
+    def outcomes(self) -> dict[Entry, requests.Response]:
+        """Return what an heir must know of the non-idempotent requests.
+
+        A request that never began is left out: an heir tells of what is
+        not in the table that it never ran.
+        """
+        found = {}
+        for entry in self.entries.values():
+            handed = ownership.handed_over(entry.stage)
+            if entry.response is not None:
+                found[entry] = entry.response
+            elif handed == ownership.Stage.UNKNOWN:
+                found[entry] = requests.Response(requests.Outcome.UNKNOWN)
+        return found
 
 
 def _expire(entries: dict[Key, Entry], before: float) -> None:
