--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,8 @@
 	$(PYTHON) -m flake8
 
 format: $(STAMP)
-	$(PYTHON) -m ruff check --fix --quiet .
 	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix --quiet .
 
 clean:
 	rm -rf $(VENV)
--- a/model/ownership.py
+++ b/model/ownership.py
@@ -285,9 +285,7 @@
     return attrs.evolve(request, told=request.told | {told})
 
 
-def _attempt(
-    request: RequestState, server: int, reply: Reply
-) -> RequestState:
+def _attempt(request: RequestState, server: int, reply: Reply) -> RequestState:
     attempts = list(request.attempts)
     attempts[server] = reply
     return attrs.evolve(request, attempts=tuple(attempts))
--- a/tests/test_coap.py
+++ b/tests/test_coap.py
@@ -33,7 +33,9 @@
 
 def mutated(draw) -> bytes:
     """Return a good datagram with some bytes changed, cut or added."""
-    raw = bytearray(message(echo=draw(strategies.binary(max_size=40))).encode())
+    raw = bytearray(
+        message(echo=draw(strategies.binary(max_size=40))).encode()
+    )
     for _ in range(draw(strategies.integers(0, 4))):
         at = draw(strategies.integers(0, len(raw) - 1))
         raw[at] = draw(strategies.integers(0, 255))
@@ -46,9 +48,7 @@
 )
 
 
-@settings(
-    max_examples=PACKETS, deadline=None, derandomize=True, database=None
-)
+@settings(max_examples=PACKETS, deadline=None, derandomize=True, database=None)
 @given(raw=DATAGRAMS)
 def test_no_made_up_packet_crashes_or_reaches_a_server(raw):
     core = core_of_one_host()
@@ -60,9 +60,7 @@
     if received.request is None:
         assert received.kind
         return
-    path = coap.reply_path(
-        received, conftest.CALLER, conftest.SERVICE, None
-    )
+    path = coap.reply_path(received, conftest.CALLER, conftest.SERVICE, None)
     packet = actions.CallerPacket(raw, received.request, path)
     for action in core.handle(packet):
         assert isinstance(action, actions.SendToCaller)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -8,9 +8,7 @@
 
 
 def test_shipped_rules_hold_for_one_request():
-    result = minicheck.check_safety(
-        ownership.protocol(1, ownership.Rules())
-    )
+    result = minicheck.check_safety(ownership.protocol(1, ownership.Rules()))
     held = {
         name: found["holds"] for name, found in result["properties"].items()
     }
@@ -19,9 +17,7 @@
 
 
 def test_everyone_is_told_something():
-    result = minicheck.check_liveness(
-        ownership.protocol(1, ownership.Rules())
-    )
+    result = minicheck.check_liveness(ownership.protocol(1, ownership.Rules()))
     assert result["holds"] is True
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,11 +4,11 @@
 import pytest
 
 from vanilladrum import __main__ as command_line
-from vanilladrum import plan as plans
 from vanilladrum.core import document
 from vanilladrum.core import errors
 from vanilladrum.daemons import settings as settings_module
 from vanilladrum.operator import change
+from vanilladrum import plan as plans
 
 GOOD = """
 [host]
