--- a/examples/run_cooperativa.py
+++ b/examples/run_cooperativa.py
@@ -99,14 +99,21 @@
     print(cluster.command("apply", str(path), url).strip(), flush=True)
 
 
-def start(cluster: clusters.Cluster) -> None:
-    """Start everything and wait until it is ready."""
+def start(
+    cluster: clusters.Cluster, hosts: int = ENTRY_HOSTS, **server: object
+) -> None:
+    """Start everything and wait until it is ready.
+
+    :param server: settings of the backend servers.
+    """
     cluster.start_platform()
     for number in range(1, 8):
-        cluster.start_backend(f"booking-{number}", "bookings", 10 + number)
+        name = f"booking-{number}"
+        cluster.start_backend(name, "bookings", 10 + number, **server)
     for number in range(1, 5):
-        cluster.start_backend(f"pattern-{number}", "patterns", 30 + number)
-    for number in range(1, ENTRY_HOSTS + 1):
+        name = f"pattern-{number}"
+        cluster.start_backend(name, "patterns", 30 + number, **server)
+    for number in range(1, hosts + 1):
         name = f"entry-{number}"
         cluster.start_host(name, number, CENTRES[number % len(CENTRES)])
     cluster.tell_platform_hosts()
--- a/vanilladrum/daemons/metrics.py
+++ b/vanilladrum/daemons/metrics.py
@@ -59,11 +59,21 @@
             "alive": sorted(each.number for each in membership.alive()),
             "cpu_seconds": usage.ru_utime + usage.ru_stime,
             "max_rss_bytes": usage.ru_maxrss * 1024,
+            "dispatchers": self._dispatchers(),
             "counters": dict(self.core.counters),
             "waits": _encode(self.waits),
             "answers": _encode(self.answers),
         }
 
+    def _dispatchers(self) -> dict[str, list[int]]:
+        """Return per service the numbers of dispatcher and witness."""
+        found = {}
+        for service in self.core.fleet.services if self.core.fleet else ():
+            pair = self.core.pair(service)
+            members = (pair.dispatcher, pair.witness) if pair else ()
+            found[service.name] = [each.number for each in members if each]
+        return found
+
     async def serve(self, address: addresses.Address) -> None:
         """Answer ``GET /metrics`` and ``GET /ready``.
 
