--- a/examples/cluster.py
+++ b/examples/cluster.py
@@ -60,6 +60,7 @@
         self.hosts: dict[str, int] = {}
         self.backends: dict[str, int] = {}
         self.failed = False
+        self.program = [sys.executable, "-m", "vanilladrum"]
 
     def __enter__(self) -> "Cluster":
         return self
@@ -82,13 +83,7 @@
         log = open(self.folder / f"{name}.log", "ab")
         with log:
             self.processes[name] = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "vanilladrum",
-                    *kind,
-                    f"--settings={path}",
-                ],
+                [*self.program, *kind, f"--settings={path}"],
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -179,7 +179,7 @@
             self._pairs_version = self.membership.version
         if service.number not in self._pairs:
             self._pairs[service.number] = placement.choose_pair(
-                service.number, self.membership.alive()
+                service.number, self.membership.trusted()
             )
         return self._pairs[service.number]
 
--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -110,6 +110,21 @@
             found.append(self.me)
         return found
 
+    def trusted(self) -> list[peers.Member]:
+        """Return the hosts that may dispatch: alive and not suspected.
+
+        A suspicion costs a host its part before its death is certain: two
+        dispatchers for a moment do less harm than one that is silent.
+        """
+        found = [
+            member
+            for member in self.members.values()
+            if member.state == State.ALIVE
+        ]
+        if self.me.state == State.ALIVE:
+            found.append(self.me)
+        return found
+
     def find(self, incarnation: bytes) -> peers.Member | None:
         """Return the entry of an incarnation, dead ones included."""
         if incarnation in self.own_incarnations:
