--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -88,6 +88,7 @@
     _rumours: dict[bytes, _Rumour] = attrs.field(factory=dict)
     _probe: _Probe | None = None
     _suspects: dict[bytes, float] = attrs.field(factory=dict)
+    _accused: set[bytes] = attrs.field(factory=set)
     _relayed: dict[int, tuple[addresses.Address, int]] = attrs.field(
         factory=dict
     )
@@ -173,6 +174,7 @@
                 sent.extend(self._ask_helpers(probe))
         if now >= self._next_probe:
             self._fail_probe(now)
+            sent.extend(self._warn_suspects())
             self._next_probe = now + self.timing.period
             sent.extend(self._start_probe(now))
         if now >= self._next_reconnect:
@@ -274,6 +276,19 @@
             return
         self._change(probe.target, State.SUSPECT)
         self._suspects[probe.target] = now + self.timing.suspicion
+        self._accused.add(probe.target)
+
+    def _warn_suspects(self) -> list[Datagram]:
+        """Tell those that this host suspected itself, so they can refute."""
+        self._accused &= self._suspects.keys()
+        sent = []
+        for incarnation in self._accused:
+            suspect = self.members[incarnation]
+            self._sequence += 1
+            ping = self._ping(self._sequence)
+            ping = attrs.evolve(ping, gossip=(suspect, *ping.gossip))
+            sent.append(Datagram(suspect.address, ping))
+        return sent
 
     def _reconnect(self) -> list[Datagram]:
         known = {member.address for member in self.alive()}
