Order changes by the clock, model them, survive a second SIGTERM

Generations: counted from the platform's object alone, a change made after that object was restored from an old copy got a generation that entry hosts had in force already and so never came into force; an operator whose change was accepted and superseded before the read-back was told of a refusal. Both shown by the model (mutants counts_from_stored and last_operation_only).

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -129,7 +129,7 @@
     backend = fleets.Server("s-1", 1, "bench", server, slots=1024)
     return fleets.Fleet(
         1,
-        "bench",
+        ("bench",),
         ("bench",),
         (fleets.Service("bench", 1, service, (backend,)),),
         (fleets.SealingKey(0, SECRET),),
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -5,6 +5,7 @@
 
 import minicheck
 
+from model import generations
 from model import ownership
 
 MAX_STATES = 2_000_000
@@ -64,6 +65,11 @@
         requests = 2 if rules.breaks == "answer_belongs" else 1
         mutant = ownership.protocol(requests, rules)
         results.append(catches(mutant, rules.breaks))
+    changes = generations.protocol(generations.Rules())
+    results += [check(changes), check_liveness(changes)]
+    for rules in generations.MUTANTS:
+        mutant = generations.protocol(rules)
+        results.append(catches(mutant, rules.breaks))
     return 0 if all(results) else 1
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,6 +4,7 @@
 import pytest
 
 from model import __main__ as checker
+from model import generations
 from model import ownership
 
 
@@ -32,3 +33,21 @@
 )
 def test_mutant_is_caught(rules):
     assert checker.catches(ownership.protocol(1, rules), rules.breaks)
+
+
+def test_generations_hold_and_settle():
+    protocol = generations.protocol(generations.Rules())
+    result = minicheck.check_safety(protocol)
+    held = {
+        name: found["holds"] for name, found in result["properties"].items()
+    }
+    assert result["exhaustive"]
+    assert held == dict.fromkeys(generations.INVARIANTS, True)
+    assert minicheck.check_liveness(protocol)["holds"] is True
+
+
+@pytest.mark.parametrize(
+    "rules", generations.MUTANTS, ids=lambda rules: rules.name
+)
+def test_generations_mutant_is_caught(rules):
+    assert checker.catches(generations.protocol(rules), rules.breaks)
--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import signal
 import sys
 
 import aiomisc
@@ -135,6 +136,9 @@
 def run_service(service: aiomisc.Service) -> None:
     """Run a service on uvloop until it is told to stop."""
     tune_collector()
+    # The entry point puts this back after the first SIGTERM, so that a
+    # second one does not cut a planned stop short.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     with aiomisc.entrypoint(
         service,
         log_config=False,
--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -14,6 +14,7 @@
 from vanilladrum.core import dispatcher as dispatchers
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
+from vanilladrum.core import generation as generations
 from vanilladrum.core import job as jobs
 from vanilladrum.core import membership as memberships
 from vanilladrum.core import ownership
@@ -117,7 +118,7 @@
         :raises ConfigurationError: when it contradicts itself; what was in
             force stays in force.
         """
-        if fleet.generation <= self.generation:
+        if not generations.adopts(self.generation, fleet.generation):
             self.counters["configuration_not_newer"] += 1
             return False
         fleets.validate(fleet)
--- a/vanilladrum/core/fleet.py
+++ b/vanilladrum/core/fleet.py
@@ -147,11 +147,12 @@
     """A whole configuration.
 
     :param generation: grows with each accepted change.
-    :param operation: id of the change, for reading back a lost answer.
+    :param operations: ids of the last accepted changes, newest last, for
+        reading back a lost confirmation.
     """
 
     generation: int
-    operation: str
+    operations: tuple[str, ...]
     data_centres: tuple[str, ...]
     services: tuple[Service, ...]
     keys: tuple[SealingKey, ...]
--- a/vanilladrum/operator/change.py
+++ b/vanilladrum/operator/change.py
@@ -15,6 +15,7 @@
 from vanilladrum.core import document
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
+from vanilladrum.core import generation as generations
 from vanilladrum import plan as plans
 from vanilladrum.wire import platform as platforms
 
@@ -24,6 +25,7 @@
 SECRET_BYTES = 32
 KEY_IDS = 16
 MAX_KEYS = 3
+MAX_OPERATIONS = 32
 POLL_SECONDS = 0.2
 READ_BACK_TRIES = 20
 READ_BACK_SECONDS = 0.5
@@ -86,7 +88,7 @@
 
 def readable(plain: dict) -> str:
     """Return a stored document as TOML without keys."""
-    hidden = {"key", "active_key", "generation", "operation", "base"}
+    hidden = {"key", "active_key", "generation", "operations", "base"}
     shown = {name: plain[name] for name in plain if name not in hidden}
     return tomli_w.dumps(shown)
 
@@ -138,8 +140,7 @@
     plain = {
         name: value for name, value in printed_plain.items() if name != "base"
     }
-    plain["generation"] = stored.generation + 1
-    plain["operation"] = uuid.uuid4().hex
+    _stamp(plain, stored)
     keys = stored.plain.get("key") or [_new_key(0)]
     plain["key"] = keys
     plain["active_key"] = stored.plain.get("active_key", 0)
@@ -205,9 +206,15 @@
         except errors.PlatformError:
             await asyncio.sleep(READ_BACK_SECONDS)
             continue
-        if now.plain.get("operation") == plain["operation"]:
+        found = generations.resolve(
+            plain["operations"][-1],
+            stored.version,
+            now.version,
+            tuple(now.plain.get("operations", ())),
+        )
+        if found == generations.Resolution.ACCEPTED:
             return
-        if now.version > stored.version:
+        if found == generations.Resolution.REFUSED:
             raise _stale({**plain, "base": stored.generation}, now)
         # Not stored yet: a late update may still arrive, so this one is
         # made again under the same condition; one of the two can win.
@@ -244,8 +251,7 @@
     else:
         keys.append(_new_key((newest + 1) % KEY_IDS))
         plain["key"] = keys[-MAX_KEYS:]
-    plain["generation"] = stored.generation + 1
-    plain["operation"] = uuid.uuid4().hex
+    _stamp(plain, stored)
     document.read_fleet(plain, "rotated keys")
     await _store(client, plain, stored)
     return plain["generation"]
@@ -284,5 +290,12 @@
     )
 
 
+def _stamp(plain: dict, stored: Current) -> None:
+    """Give a change its generation and its operation id."""
+    plain["generation"] = generations.following(stored.generation, time.time())
+    earlier = stored.plain.get("operations", [])[1 - MAX_OPERATIONS :]
+    plain["operations"] = [*earlier, uuid.uuid4().hex]
+
+
 def _new_key(key_id: int) -> dict:
     return {"key_id": key_id, "secret": secrets.token_hex(SECRET_BYTES)}
--- a/vanilladrum/wire/bulk.py
+++ b/vanilladrum/wire/bulk.py
@@ -14,6 +14,7 @@
 from vanilladrum.wire import peers as wire_peers
 
 MAX_BYTES = 64 * 1024 * 1024
+REFUSED_CODE = 1008
 TIMEOUT_SECONDS = 10.0
 Answerer = Callable[[object], Awaitable[object | None]]
 
@@ -51,15 +52,24 @@
             await self._server.wait_closed()
 
     async def _serve(self, connection: server.ServerConnection) -> None:
-        async for data in connection:
-            try:
-                message = self.codec.decode(data)
-            except (errors.PacketError, TypeError):
-                await connection.close(1008, "message refused")
-                return
-            reply = await self.answer(message)
-            if reply is not None:
-                await connection.send(self.codec.encode(reply))
+        try:
+            async for data in connection:
+                await self._answer(connection, data)
+        except websockets.ConnectionClosed:
+            # The asking host is gone; it asks another one.
+            return
+
+    async def _answer(
+        self, connection: server.ServerConnection, data: bytes | str
+    ) -> None:
+        try:
+            message = self.codec.decode(data)
+        except (errors.PacketError, TypeError):
+            await connection.close(REFUSED_CODE, "message refused")
+            return
+        reply = await self.answer(message)
+        if reply is not None:
+            await connection.send(self.codec.encode(reply))
 
 
 async def ask(
