--- a/examples/chaos.py
+++ b/examples/chaos.py
@@ -48,6 +48,7 @@
         self.next_number = ENTRY_HOSTS + 1
         self.done: list[str] = []
         self.over = threading.Event()
+        self.started = time.monotonic()
 
     def run(self) -> None:
         """Inject faults, each kind once before any comes again."""
@@ -57,9 +58,10 @@
             for fault in faults:
                 if self.over.wait(CALM_SECONDS):
                     return
+                at = time.monotonic() - self.started
                 getattr(self, fault)()
                 self.done.append(fault)
-                print(f"fault: {fault}", flush=True)
+                print(f"fault at {at:.1f} s: {fault}", flush=True)
 
     def add_host(self) -> None:
         """Start an entry host in the place of one that is gone."""
@@ -189,12 +191,22 @@
     )
     chaos.over.set()
     thread.join()
+    print_troubles(report)
     print_costs(cluster, chaos, time.monotonic() - started)
     sys.stdout.write(done.stdout)
     cluster.failed = done.returncode != 0
     return done.returncode
 
 
+def print_troubles(report: pathlib.Path) -> None:
+    """Print when which requests were not answered, by second."""
+    counts: dict[tuple[int, str], int] = {}
+    for at, _, told in json.loads(report.read_text())["troubles"]:
+        counts[int(at), told] = counts.get((int(at), told), 0) + 1
+    for (second, told), count in sorted(counts.items()):
+        print(f"ended in second {second}: {count} {told}")
+
+
 def print_costs(
     cluster: clusters.Cluster, chaos: Chaos, seconds: float
 ) -> None:
--- a/examples/cluster.py
+++ b/examples/cluster.py
@@ -39,11 +39,23 @@
     return True
 
 
-def free_span(wanted: int) -> int:
-    """Return the first port of a span in which all are free."""
+def claim_span() -> tuple[int, socket.socket]:
+    """Claim a span of free ports.
+
+    :returns: its first port and the socket on its last one, which keeps
+        other examples out as long as it is open.
+    """
     for first in range(PORT_LOW, PORT_HIGH, PORT_SPAN):
-        if all(port_free(port) for port in range(first, first + wanted)):
-            return first
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((HOST, first + PORT_SPAN - 1))
+        except OSError:
+            guard.close()
+            continue
+        ports = range(first, first + PORT_SPAN - 1)
+        if all(port_free(port) for port in ports):
+            return first, guard
+        guard.close()
     raise RuntimeError("no span of free ports; end what holds them")
 
 
@@ -56,7 +68,7 @@
     def __init__(self) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="vanilladrum-"))
         self.processes: dict[str, subprocess.Popen] = {}
-        self.first = free_span(PORT_SPAN)
+        self.first, self.guard = claim_span()
         self.hosts: dict[str, int] = {}
         self.backends: dict[str, int] = {}
         self.failed = False
@@ -265,6 +277,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        self.guard.close()
         if self.failed:
             print(f"logs are kept in {self.folder}", file=sys.stderr)
         else:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -200,6 +200,22 @@
     assert told == {callers.Told.ANSWERED}
 
 
+async def test_second_sigterm_cuts_nothing_off(slow_cluster):
+    connection = await connect(slow_cluster)
+    owner, _ = pair(slow_cluster)
+    post = asyncio.create_task(
+        connection.request(codes.POST, "/records/1", b"id-1|x")
+    )
+    await until(lambda: executions(slow_cluster, "id-1"))
+    process = slow_cluster.processes[owner]
+    process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.2)
+    process.send_signal(signal.SIGTERM)
+    ending = await post
+    assert ending.told == callers.Told.ANSWERED
+    assert await asyncio.to_thread(process.wait, 30) == 0
+
+
 async def test_platform_outage_changes_nothing_and_hosts_still_join(cluster):
     cluster.post(5, {"away": True})
     connection = await connect(cluster)
--- a/vanilladrum/standins/load.py
+++ b/vanilladrum/standins/load.py
@@ -99,6 +99,8 @@
     told: dict[str, callers.Told] = attrs.field(factory=dict)
     broken: set[callers.Connection] = attrs.field(factory=set)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
+    troubles: list[tuple] = attrs.field(factory=list)
+    started: float = 0.0
     _ids: itertools.count = attrs.field(factory=itertools.count)
 
     async def run(self) -> dict:
@@ -109,6 +111,7 @@
                     f"mix {mix.name!r}: kind {mix.kind!r} is not known; "
                     f"use one of {KINDS}"
                 )
+        self.started = asyncio.get_running_loop().time()
         await asyncio.gather(
             *[
                 self._drive(number, mix)
@@ -189,6 +192,10 @@
         tally = self.tallies[mix.name]
         tally.renewals += ending.renewals
         tally.retransmissions += ending.transmissions - ending.renewals - 1
+        if ending.told != callers.Told.ANSWERED:
+            at = asyncio.get_running_loop().time() - self.started
+            trouble = (round(at, 2), mix.name, ending.told.value)
+            self.troubles.append(trouble)
         if ending.told == callers.Told.ANSWERED:
             tally.answered += 1
         elif ending.told == callers.Told.NOT_RUN:
@@ -249,7 +256,11 @@
             "broken_connections": len(self.broken),
         }
         classes = {name: _summary(t) for name, t in self.tallies.items()}
-        return {"summary": summary, "classes": classes}
+        return {
+            "summary": summary,
+            "classes": classes,
+            "troubles": self.troubles,
+        }
 
 
 def _summary(tally: Tally) -> dict:
