--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -15,6 +15,7 @@
 from vanilladrum.daemons import settings as settings_module
 from vanilladrum.operator import change
 from vanilladrum.operator import commands
+from vanilladrum.operator import report as reports
 from vanilladrum.standins import backend
 from vanilladrum.standins import fabric
 from vanilladrum.standins import load as loads
@@ -108,6 +109,14 @@
         """
         uvloop.run(commands.status(platform))
 
+    def report(self, *metrics: str, html: str | None = None) -> None:
+        """Show the service-level burn over all entry hosts.
+
+        :param metrics: metrics endpoints, such as 127.0.0.1:7003.
+        :param html: path to which a page with plots is written.
+        """
+        uvloop.run(reports.show(metrics, html))
+
     def rotate_keys(self, platform: str, timeout: float = 30.0) -> None:
         """Add a token key; run again to seal with it.
 
--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -31,6 +31,7 @@
 RECORD_RESEND_SECONDS = (0.03, 0.1)
 RECORD_TIMEOUT_SECONDS = 0.3
 HEIR_LIMIT = 4096
+FAILURES = (requests.Outcome.NOT_RUN, requests.Outcome.UNKNOWN)
 WaitHook = Callable[[fleets.Service, jobs.Job], None]
 AnswerHook = Callable[[fleets.Service, jobs.Job, float], None]
 Stage = ownership.Stage
@@ -88,6 +89,7 @@
     joined: bool = False
     on_wait: WaitHook | None = None
     on_answer: AnswerHook | None = None
+    on_failure: WaitHook | None = None
     _services: dict[addresses.Address, fleets.Service] = attrs.field(
         factory=dict
     )
@@ -521,6 +523,9 @@
         job = entry.job
         entry.job = None
         job.finished = True
+        if self.on_failure and response.outcome in FAILURES:
+            service = self.dispatch[job.token.service].service
+            self.on_failure(service, job)
         self.counters[f"told_{response.outcome.value}"] += 1
         self._out.append(
             actions.SendToCaller(entry.path, entry.key[1], response)
--- a/vanilladrum/core/fleet.py
+++ b/vanilladrum/core/fleet.py
@@ -108,6 +108,13 @@
     hedge_ratio: float = 0.03
     slow_start: float = 0.0
 
+    def objective(self, priority: Priority) -> Objective | None:
+        """Return the objective of a class, or None."""
+        for objective in self.objectives:
+            if objective.priority == priority:
+                return objective
+        return None
+
     def priority(self, path: str) -> Priority:
         """Return the class of the longest route that begins the path.
 
--- a/vanilladrum/daemons/entry_host.py
+++ b/vanilladrum/daemons/entry_host.py
@@ -82,6 +82,7 @@
         self.metrics = metrics.Metrics(settings.host.name, self.core)
         self.core.on_wait = self.metrics.waited
         self.core.on_answer = self.metrics.answered
+        self.core.on_failure = self.metrics.failed
         self.platform = platforms.PlatformClient(
             settings.platform.url, settings.platform.timeout
         )
--- a/vanilladrum/daemons/metrics.py
+++ b/vanilladrum/daemons/metrics.py
@@ -15,6 +15,8 @@
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 DIGITS = 3
+BUCKET_SECONDS = 10
+MAX_BUCKETS = 360
 MICROSECONDS = 1_000_000
 
 
@@ -34,6 +36,7 @@
     core: entryhost.EntryHost
     waits: dict[str, histogram.HdrHistogram] = attrs.field(factory=dict)
     answers: dict[str, histogram.HdrHistogram] = attrs.field(factory=dict)
+    burn: dict[str, dict[int, list[int]]] = attrs.field(factory=dict)
     _runner: web.AppRunner | None = None
 
     def waited(self, service: fleets.Service, job: jobs.Job) -> None:
@@ -45,6 +48,26 @@
     ) -> None:
         """Record how long a request took from arrival to answer."""
         _record(self.answers, _label(service, job), seconds)
+        objective = service.objective(job.priority)
+        if objective is not None:
+            late = seconds > objective.latency
+            self._count(service, job, late)
+
+    def failed(self, service: fleets.Service, job: jobs.Job) -> None:
+        """Count a request that was not answered against its objective."""
+        if service.objective(job.priority) is not None:
+            self._count(service, job, True)
+
+    def _count(
+        self, service: fleets.Service, job: jobs.Job, bad: bool
+    ) -> None:
+        label = _label(service, job)
+        buckets = self.burn.setdefault(label, {})
+        bucket = int(self.core.clock.wall()) // BUCKET_SECONDS
+        good_and_bad = buckets.setdefault(bucket, [0, 0])
+        good_and_bad[bad] += 1
+        while len(buckets) > MAX_BUCKETS:
+            del buckets[next(iter(buckets))]
 
     def snapshot(self) -> dict:
         """Return everything as a JSON document."""
@@ -61,10 +84,24 @@
             "max_rss_bytes": usage.ru_maxrss * 1024,
             "dispatchers": self._dispatchers(),
             "counters": dict(self.core.counters),
+            "objectives": self._objectives(),
+            "burn": {
+                label: [[bucket, *counts] for bucket, counts in each.items()]
+                for label, each in self.burn.items()
+            },
             "waits": _encode(self.waits),
             "answers": _encode(self.answers),
         }
 
+    def _objectives(self) -> dict[str, list[float]]:
+        """Return latency and target of each class that has them."""
+        found = {}
+        for service in self.core.fleet.services if self.core.fleet else ():
+            for each in service.objectives:
+                label = f"{service.name}/{each.priority.name.lower()}"
+                found[label] = [each.latency, each.target]
+        return found
+
     def _dispatchers(self) -> dict[str, list[int]]:
         """Return per service the numbers of dispatcher and witness."""
         found = {}
