Let suspicions last log n periods, and hearsay twice as long

Cause: each host that heard a rumour of suspicion ran its own short timer and declared the suspect dead, while the refutation needs log n periods to get there.

--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 import random
 
 import attrs
@@ -18,6 +19,8 @@
 MAX_GOSSIP = 8
 RETRANSMIT_FACTOR = 3
 HELPERS = 2
+HEARSAY_FACTOR = 2.0
+ROUNDS_AT_BASE = 3.0
 MAX_DEAD = 4096
 
 
@@ -36,7 +39,8 @@
 
     :param period: between two probes of a host.
     :param probe_timeout: until helpers are asked.
-    :param suspicion: until a suspect is declared dead.
+    :param suspicion: until a suspect is declared dead by its accuser, in
+        a group of up to 8 hosts; longer in larger ones.
     :param reconnect: between two probes of a dead host's address.
     """
 
@@ -275,9 +279,14 @@
         if member is None or member.state >= State.SUSPECT:
             return
         self._change(probe.target, State.SUSPECT)
-        self._suspects[probe.target] = now + self.timing.suspicion
+        self._suspects[probe.target] = now + self._suspicion()
         self._accused.add(probe.target)
 
+    def _suspicion(self) -> float:
+        """Return how long a suspicion lasts; rumours need log n periods."""
+        rounds = math.log2(len(self.members) + 1) / ROUNDS_AT_BASE
+        return self.timing.suspicion * max(1.0, rounds)
+
     def _warn_suspects(self) -> list[Datagram]:
         """Tell those that this host suspected itself, so they can refute."""
         self._accused &= self._suspects.keys()
@@ -326,7 +335,9 @@
         if known is None:
             self._bury_older(heard)
         if heard.state == State.SUSPECT:
-            due = now + self.timing.suspicion
+            # The accuser decides first; hearers wait longer, so that a
+            # refutation overtakes the rumour.
+            due = now + HEARSAY_FACTOR * self._suspicion()
             self._suspects.setdefault(heard.incarnation, due)
             return
         self._suspects.pop(heard.incarnation, None)
