Let a fenced owner tell the truth and take a new incarnation

Cause of broken connections: a host that wrongly believed an owner dead had its witness fence it. The owner, alive in the other views and unaware, met each record with silence (stage abandoned) until it heard of its death, and retransmissions piled up. Ruled out: a second SIGTERM (0 cut off in all six stops).

It also gives its incarnation up at once, so that callers are led away from it.

--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -856,8 +856,7 @@
             return
         dispatcher = self.dispatch[entry.job.token.service]
         if message.fenced:
-            self.counters["fenced"] += 1
-            self._apply(entry, Event.FENCED, dispatcher.service)
+            self._fenced(entry, dispatcher.service)
             return
         self._apply(entry, Event.RECORDED, dispatcher.service)
 
@@ -877,6 +876,19 @@
         self.membership.merge_all(view.members, now)
         self.joined = True
 
+    def _fenced(self, entry: tables.Entry, service: fleets.Service) -> None:
+        """Give up an incarnation that a witness no longer records for.
+
+        Its tokens are of no more use, so that all callers are led to a new
+        one. The request was not dispatched and never will be.
+        """
+        self.counters["fenced"] += 1
+        if entry.owner == self.membership.me.incarnation:
+            self.membership.take_new_incarnation()
+        entry.stage = ownership.advance(entry.stage, Event.FENCED).stage
+        token = entry.job.token
+        self._settle(entry, self._renewal(entry.path, service, token))
+
     def _closed(self, message: peers.Closed) -> None:
         while len(self.heirs) >= HEIR_LIMIT:
             del self.heirs[next(iter(self.heirs))]
--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -150,6 +150,11 @@
         """Announce a planned stop."""
         self._set_me(attrs.evolve(self.me, state=State.LEAVING))
 
+    def take_new_incarnation(self) -> None:
+        """Go on under a new incarnation; others bury the old one."""
+        start = self.rng.randbytes(START_BYTES)
+        self._set_me(attrs.evolve(self.me, start=start, refutation=0))
+
     def bury(self, incarnation: bytes) -> None:
         """Count an incarnation as dead that is known to have ended."""
         if incarnation not in self.own_incarnations:
@@ -357,9 +362,7 @@
             return
         if heard.state == State.DEAD:
             self.false_deaths += 1
-            start = self.rng.randbytes(START_BYTES)
-            fresh = attrs.evolve(self.me, start=start, refutation=0)
-            self._set_me(fresh)
+            self.take_new_incarnation()
             return
         if heard.state != State.SUSPECT:
             return
--- a/vanilladrum/core/ownership.py
+++ b/vanilladrum/core/ownership.py
@@ -21,7 +21,6 @@
     ANSWERED = "answered"
     REFUSED = "refused"
     UNKNOWN = "unknown"
-    ABANDONED = "abandoned"
 
 
 class Event(enum.Enum):
@@ -67,9 +66,7 @@
     (Stage.RECORDING, Event.RECORDED): Transition(
         Stage.QUEUED, Effect.ENQUEUE
     ),
-    (Stage.RECORDING, Event.FENCED): Transition(
-        Stage.ABANDONED, Effect.NOTHING
-    ),
+    (Stage.RECORDING, Event.FENCED): Transition(Stage.REFUSED, Effect.TELL),
     (Stage.RECORDING, Event.WITNESS_SILENT): Transition(
         Stage.REFUSED, Effect.TELL
     ),
--- a/vanilladrum/core/table.py
+++ b/vanilladrum/core/table.py
@@ -74,7 +74,6 @@
             for kind in (self.entries, self.short)
             for entry in kind.values()
             if entry.response is None
-            and entry.stage != ownership.Stage.ABANDONED
         )
 
     def outcomes(self) -> dict[Entry, requests.Response]:
