--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -3,9 +3,7 @@
 import collections
 from collections.abc import Callable
 import functools
-import heapq
 import random
-from typing import Protocol
 
 import attrs
 
@@ -15,6 +13,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
 from vanilladrum.core import generation as generations
+from vanilladrum.core import issuer as issuers
 from vanilladrum.core import job as jobs
 from vanilladrum.core import membership as memberships
 from vanilladrum.core import ownership
@@ -22,10 +21,10 @@
 from vanilladrum.core import placement
 from vanilladrum.core import request as requests
 from vanilladrum.core import table as tables
+from vanilladrum.core import timers
 from vanilladrum.core import token as tokens
 
 MAX_HOPS = 4
-RENEW_SECONDS = 60
 OWNER_GRACE_SECONDS = 5
 RESEND_SECONDS = (1.0, 2.5)
 RECORD_RESEND_SECONDS = (0.03, 0.1)
@@ -39,16 +38,6 @@
 Effect = ownership.Effect
 
 
-class Clock(Protocol):
-    """Time as the daemon or a test gives it."""
-
-    def monotonic(self) -> float:
-        """Return seconds that never go back."""
-
-    def wall(self) -> float:
-        """Return seconds since 1970."""
-
-
 @attrs.define(eq=False)
 class Attempt:
     """One sending of a job to one server."""
@@ -72,10 +61,9 @@
     """
 
     membership: memberships.Membership
-    clock: Clock
+    clock: issuers.Clock
     rng: random.Random
     fleet: fleets.Fleet | None = None
-    keyring: tokens.Keyring | None = None
     counters: collections.Counter = attrs.field(factory=collections.Counter)
     table: tables.RequestTable = attrs.field(factory=tables.RequestTable)
     witness: tables.WitnessTable = attrs.field(factory=tables.WitnessTable)
@@ -93,14 +81,13 @@
     _services: dict[addresses.Address, fleets.Service] = attrs.field(
         factory=dict
     )
-    _pairs: dict[int, placement.Pair | None] = attrs.field(factory=dict)
-    _pairs_version: int = -1
-    _timers: list = attrs.field(factory=list)
-    _timer_order: int = 0
+    issuer: issuers.Issuer = attrs.field(init=False)
+    _timers: timers.Timers = attrs.field(factory=timers.Timers)
     _attempt_number: int = 0
     _out: list[actions.Action] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
+        self.issuer = issuers.Issuer(self.membership, self.clock, self.rng)
         self._attempt_number = self.rng.getrandbits(31)
 
     @property
@@ -124,7 +111,7 @@
             self.counters["configuration_not_newer"] += 1
             return False
         fleets.validate(fleet)
-        self.keyring = fleet.keyring()
+        self.issuer.keyring = fleet.keyring()
         self.fleet = fleet
         self.membership.generation = fleet.generation
         self._services = fleet.by_address()
@@ -151,9 +138,7 @@
     def tick(self) -> list[actions.Action]:
         """Run the timers that are due."""
         now = self.clock.monotonic()
-        while self._timers and self._timers[0][0] <= now:
-            _, _, action = heapq.heappop(self._timers)
-            action()
+        self._timers.run(now)
         if self.membership.next_timer() <= now:
             for datagram in self.membership.tick(now):
                 self._send_peer(datagram.to, datagram.message)
@@ -162,9 +147,8 @@
     def next_timer(self) -> float:
         """Return when :meth:`tick` is due next."""
         due = self.membership.next_timer()
-        if self._timers:
-            return min(due, self._timers[0][0])
-        return due
+        own = self._timers.next_due()
+        return due if own is None else min(due, own)
 
     def start_leaving(self) -> list[actions.Action]:
         """Begin a planned stop: finish what runs, take nothing new."""
@@ -178,20 +162,13 @@
 
     def pair(self, service: fleets.Service) -> placement.Pair | None:
         """Return dispatcher and witness of a service in this view."""
-        if self._pairs_version != self.membership.version:
-            self._pairs.clear()
-            self._pairs_version = self.membership.version
-        if service.number not in self._pairs:
-            self._pairs[service.number] = placement.choose_pair(
-                service.number, self.membership.trusted()
-            )
-        return self._pairs[service.number]
+        return self.issuer.pair(service)
 
     # Packets of callers
 
     def _caller_packet(self, packet: actions.CallerPacket) -> None:
         service = self._services.get(packet.path.service)
-        if service is None or self.keyring is None:
+        if service is None:
             self.counters["no_such_service"] += 1
             return
         token = self._open(packet, service)
@@ -211,7 +188,7 @@
             self._renew(packet, service, None)
             return None
         try:
-            token = self.keyring.open(sealed, packet.path.caller)
+            token = self.issuer.keyring.open(sealed, packet.path.caller)
         except errors.TokenError as error:
             self.counters[f"token_{error.kind}"] += 1
             if error.kind == "forged":
@@ -284,7 +261,9 @@
             self._forward(packet, pair.dispatcher, judge=False)
         else:
             self.counters["owner_and_witness_lost"] += 1
-            self._reply(packet, self._unknown(packet, service, token))
+            self._reply(
+                packet, self.issuer.unknown(packet.path.caller, service, token)
+            )
 
     def _ask_judge(
         self,
@@ -305,7 +284,9 @@
             self._forward(packet, member, judge=True)
             return
         self.counters["owner_and_witness_lost"] += 1
-        self._reply(packet, self._unknown(packet, service, token))
+        self._reply(
+            packet, self.issuer.unknown(packet.path.caller, service, token)
+        )
 
     def _judges(self, token: tokens.Token) -> bool:
         mine = self.membership.own_incarnations
@@ -325,7 +306,10 @@
             if told is None:
                 self._renew(packet, service, token)
             elif told.outcome == requests.Outcome.UNKNOWN:
-                self._reply(packet, self._unknown(packet, service, token))
+                self._reply(
+                    packet,
+                    self.issuer.unknown(packet.path.caller, service, token),
+                )
             else:
                 self._reply(packet, told)
             return
@@ -335,7 +319,9 @@
         if judgement == ownership.Judgement.NEVER_RUN:
             self._renew(packet, service, token)
             return
-        self._reply(packet, self._unknown(packet, service, token))
+        self._reply(
+            packet, self.issuer.unknown(packet.path.caller, service, token)
+        )
 
     def _heir_of(self, incarnation: bytes) -> bytes:
         seen = set()
@@ -385,7 +371,9 @@
             return
         if not self._may_own(service, token):
             self.counters["not_dispatcher"] += 1
-            self._refuse(entry, self._renewal(packet.path, service, token))
+            self._refuse(
+                entry, self.issuer.renewal(packet.path.caller, service, token)
+            )
             return
         self._apply(entry, Event.ARRIVED, service)
 
@@ -419,8 +407,7 @@
     def _may_own(self, service: fleets.Service, token: tokens.Token) -> bool:
         if self.closing or token.owner != self.membership.me.incarnation:
             return False
-        pair = self.pair(service)
-        if pair is not None and pair.dispatcher is self.membership.me:
+        if self.issuer.dispatches(service):
             return True
         # Views may differ for a moment; a fresh token is honoured.
         age = self.clock.wall() - token.issued_at
@@ -464,7 +451,10 @@
             entry.stage = ownership.advance(
                 entry.stage, Event.WITNESS_SILENT
             ).stage
-            self._settle(entry, self._renewal(entry.path, service, job.token))
+            self._settle(
+                entry,
+                self.issuer.renewal(entry.path.caller, service, job.token),
+            )
             return
         message = peers.Record(job.token.owner, witness, *entry.key)
         self._send_peer(member.address, message)
@@ -592,7 +582,7 @@
                 action(attempt)
                 self._await_reply(attempt, tuple(later))
 
-        self._at(attempt.started + wait, due)
+        self._timers.at(attempt.started + wait, due)
 
     def _send_attempt(self, attempt: Attempt) -> None:
         left = attempt.job.due - self.clock.monotonic()
@@ -672,7 +662,9 @@
         home = job.token.home
         if service.affinity == fleets.Affinity.CONNECTION or job.transfer:
             home = attempt.server.number
-        token = self._refresh(entry.path, service, job.token, home)
+        token = self.issuer.refresh(
+            entry.path.caller, service, job.token, home
+        )
         self._settle(entry, attrs.evolve(response, token=token))
 
     def _try_again(
@@ -720,71 +712,15 @@
             )
             return
         entry.stage = ownership.advance(entry.stage, Event.SERVER_SILENT).stage
-        token = self._refresh(entry.path, service, job.token, job.token.home)
+        token = self.issuer.refresh(
+            entry.path.caller, service, job.token, job.token.home
+        )
         self._settle(
             entry,
             requests.Response(requests.Outcome.UNKNOWN, token=token),
         )
 
-    # Tokens and replies
-
-    def _fresh(
-        self,
-        caller: addresses.Address,
-        service: fleets.Service,
-        connection: bytes,
-        home: int,
-    ) -> bytes:
-        pair = self.pair(service)
-        if pair is None:
-            owner, witness = self.membership.me.incarnation, tokens.NO_HOST
-        else:
-            owner = pair.dispatcher.incarnation
-            witness = pair.witness_incarnation
-        token = tokens.Token(
-            int(self.clock.wall()),
-            service.number,
-            home,
-            connection,
-            owner,
-            witness,
-        )
-        return self.keyring.seal(token, caller)
-
-    def _refresh(
-        self,
-        path: requests.ReplyPath,
-        service: fleets.Service,
-        token: tokens.Token,
-        home: int,
-    ) -> bytes:
-        """Return a newer token when the caller's is outdated, or b''."""
-        pair = self.pair(service)
-        current = (
-            pair is not None
-            and pair.dispatcher.incarnation == token.owner
-            and pair.witness_incarnation == token.witness
-            and home == token.home
-            and self.clock.wall() - token.issued_at < RENEW_SECONDS
-        )
-        if current:
-            return b""
-        return self._fresh(path.caller, service, token.connection, home)
-
-    def _renewal(
-        self,
-        path: requests.ReplyPath,
-        service: fleets.Service,
-        token: tokens.Token | None,
-    ) -> requests.Response:
-        if token is None:
-            connection = self.rng.randbytes(8)
-            home = tokens.NO_SERVER
-        else:
-            connection = token.connection
-            home = token.home
-        sealed = self._fresh(path.caller, service, connection, home)
-        return requests.Response(requests.Outcome.RENEW_TOKEN, token=sealed)
+    # Replies
 
     def _renew(
         self,
@@ -792,18 +728,9 @@
         service: fleets.Service,
         token: tokens.Token | None,
     ) -> None:
-        self._reply(packet, self._renewal(packet.path, service, token))
-
-    def _unknown(
-        self,
-        packet: actions.CallerPacket,
-        service: fleets.Service,
-        token: tokens.Token,
-    ) -> requests.Response:
-        sealed = self._fresh(
-            packet.path.caller, service, token.connection, token.home
+        self._reply(
+            packet, self.issuer.renewal(packet.path.caller, service, token)
         )
-        return requests.Response(requests.Outcome.UNKNOWN, token=sealed)
 
     def _reply(
         self, packet: actions.CallerPacket, response: requests.Response
@@ -887,7 +814,9 @@
             self.membership.take_new_incarnation()
         entry.stage = ownership.advance(entry.stage, Event.FENCED).stage
         token = entry.job.token
-        self._settle(entry, self._renewal(entry.path, service, token))
+        self._settle(
+            entry, self.issuer.renewal(entry.path.caller, service, token)
+        )
 
     def _closed(self, message: peers.Closed) -> None:
         while len(self.heirs) >= HEIR_LIMIT:
@@ -899,11 +828,7 @@
         self._out.append(actions.SendToPeer(to, message))
 
     def _later(self, wait: float, action: Callable[[], None]) -> None:
-        self._at(self.clock.monotonic() + wait, action)
-
-    def _at(self, due: float, action: Callable[[], None]) -> None:
-        self._timer_order += 1
-        heapq.heappush(self._timers, (due, self._timer_order, action))
+        self._timers.at(self.clock.monotonic() + wait, action)
 
     def _drain(self) -> list[actions.Action]:
         out = self._out
--- a/vanilladrum/core/peers.py
+++ b/vanilladrum/core/peers.py
@@ -123,17 +123,6 @@
     holder: bytes
 
 
-@message(8)
-class Summary:
-    """Load and loss of a host, for its peers' reports.
-
-    :param counters: counter name and value pairs.
-    """
-
-    sender: bytes
-    counters: tuple[tuple[str, int], ...]
-
-
 @message(20)
 class PullConfiguration:
     """Asks for the configuration in force, over a bulk connection."""
