Leave a check unknown after a silent attempt, never "not run"

Found by reading: a check whose attempt ended in silence and that could not be retried, or fell due in the queue afterwards, was told as not run though the server may have run it.

--- a/tests/test_entryhost.py
+++ b/tests/test_entryhost.py
@@ -166,6 +166,28 @@
     assert hosts.to_server[-1][1].server == home
 
 
+def test_silent_check_is_told_as_unknown_not_as_not_run(hosts):
+    token = hosts.connect(1)
+    for core in hosts.cores.values():
+        for dispatcher in core.dispatch.values():
+            dispatcher.retry_budget = 0.0
+    hosts.send(1, hosts.raw(token=token))
+    hosts.run(4.5)
+    assert hosts.told().outcome == Outcome.UNKNOWN
+
+
+def test_check_overdue_after_silence_is_told_as_unknown(hosts):
+    token = hosts.connect(1)
+    hosts.send(1, hosts.raw(token=token))
+    hosts.run(3.9)
+    for _ in range(8):
+        hosts.send(1, hosts.raw(token=token))
+    hosts.run(1.2)
+    outcomes = {a.exchange: a.response.outcome for _, a in hosts.to_caller}
+    first = hosts.to_server[0][1].request.exchange
+    assert outcomes[first] == Outcome.UNKNOWN
+
+
 def test_queue_drops_what_is_overdue_before_dispatch(hosts):
     token = hosts.connect(1)
     for _ in range(6):
--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -491,6 +491,9 @@
         self._drop(entry, service)
 
     def _drop(self, entry: tables.Entry, service: fleets.Service) -> None:
+        if entry.job.may_have_run:
+            self._leave_unknown(entry, service)
+            return
         dispatcher = self.dispatch[service.number]
         wait = dispatcher.queue_of(entry.job).expected_wait(entry.job)
         self._refuse(
@@ -704,6 +707,7 @@
         self, entry: tables.Entry, service: fleets.Service, now: float
     ) -> None:
         job = entry.job
+        job.may_have_run = True
         if job.running:
             return
         if entry.idempotent:
@@ -711,7 +715,13 @@
                 job, service, now, requests.Response(requests.Outcome.NOT_RUN)
             )
             return
-        entry.stage = ownership.advance(entry.stage, Event.SERVER_SILENT).stage
+        self._leave_unknown(entry, service)
+
+    def _leave_unknown(
+        self, entry: tables.Entry, service: fleets.Service
+    ) -> None:
+        job = entry.job
+        entry.stage = Stage.UNKNOWN
         token = self.issuer.refresh(
             entry.path.caller, service, job.token, job.token.home
         )
--- a/vanilladrum/core/job.py
+++ b/vanilladrum/core/job.py
@@ -18,6 +18,7 @@
     :param caller: whose share of the queue it counts against.
     :param tried: numbers of the servers that had it.
     :param running: server number by attempt number.
+    :param may_have_run: whether an attempt ended in silence.
     :param waited: seconds that it waited for its last slot.
     """
 
@@ -35,6 +36,7 @@
     pinned: bool = False
     queued: bool = False
     finished: bool = False
+    may_have_run: bool = False
     attempts: int = 0
     tried: set[int] = attrs.field(factory=set)
     running: dict[int, int] = attrs.field(factory=dict)
