--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -9,6 +9,7 @@
 
 from vanilladrum.core import actions
 from vanilladrum.core import address as addresses
+from vanilladrum.core import attempts as sendings
 from vanilladrum.core import dispatcher as dispatchers
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
@@ -26,7 +27,6 @@
 
 MAX_HOPS = 4
 OWNER_GRACE_SECONDS = 5
-RESEND_SECONDS = (1.0, 2.5)
 RECORD_RESEND_SECONDS = (0.03, 0.1)
 RECORD_TIMEOUT_SECONDS = 0.3
 HEIR_LIMIT = 4096
@@ -38,19 +38,6 @@
 Effect = ownership.Effect
 
 
-@attrs.define(eq=False)
-class Attempt:
-    """One sending of a job to one server."""
-
-    number: int
-    job: jobs.Job
-    server: fleets.Server
-    started: float
-
-
-Waits = tuple[tuple[float, Callable[[Attempt], None]], ...]
-
-
 @attrs.define(eq=False)
 class EntryHost:
     """State and decisions of one entry host.
@@ -68,7 +55,6 @@
     table: tables.RequestTable = attrs.field(factory=tables.RequestTable)
     witness: tables.WitnessTable = attrs.field(factory=tables.WitnessTable)
     dispatch: dict[int, dispatchers.Dispatcher] = attrs.field(factory=dict)
-    attempts: dict[int, Attempt] = attrs.field(factory=dict)
     heirs: dict[bytes, bytes] = attrs.field(factory=dict)
     inherited: dict[bytes, dict[tables.Key, requests.Response]] = attrs.field(
         factory=dict
@@ -83,18 +69,31 @@
     )
     issuer: issuers.Issuer = attrs.field(init=False)
     _timers: timers.Timers = attrs.field(factory=timers.Timers)
-    _attempt_number: int = 0
+    _sent: sendings.Attempts = attrs.field(init=False)
     _out: list[actions.Action] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.issuer = issuers.Issuer(self.membership, self.clock, self.rng)
-        self._attempt_number = self.rng.getrandbits(31)
+        self._sent = sendings.Attempts(
+            self.clock,
+            self._timers,
+            self.dispatch,
+            self.counters,
+            send=lambda action: self._out.append(action),
+            on_silence=self._silent,
+            number=self.rng.getrandbits(31),
+        )
 
     @property
     def ready(self) -> bool:
         """Return whether this host may be given callers' packets."""
         return self.fleet is not None and self.joined
 
+    @property
+    def attempts(self) -> dict[int, sendings.Attempt]:
+        """Return the attempts that wait for a server's reply."""
+        return self._sent.running
+
     @property
     def generation(self) -> int:
         """Return the generation in force, 0 for none."""
@@ -538,7 +537,7 @@
             entry.stage = ownership.advance(entry.stage, Event.GRANTED).stage
             if self.on_wait:
                 self.on_wait(service, start.job)
-            self._attempt(service, start, now)
+            self._sent.begin(start)
         resumes_at = dispatcher.resumes_at(now)
         if resumes_at is not None:
             self._later(
@@ -546,84 +545,8 @@
                 lambda: self._pump(service, self.clock.monotonic()),
             )
 
-    def _attempt(
-        self, service: fleets.Service, start: dispatchers.Start, now: float
-    ) -> None:
-        self._attempt_number = (self._attempt_number + 1) & 0xFFFFFFFF
-        number = self._attempt_number
-        attempt = Attempt(number, start.job, start.server, now)
-        self.attempts[number] = attempt
-        start.job.running[number] = start.server.number
-        self._send_attempt(attempt)
-        job = start.job
-        waits = self._waits_of(service)
-        if job.request.idempotent and len(job.running) == 1:
-            hedge_delay = self.dispatch[service.number].hedge_delay
-            waits = ((hedge_delay, self._hedge), *waits)
-        self._await_reply(attempt, waits)
-
-    def _waits_of(self, service: fleets.Service) -> Waits:
-        """Return what to do when, counted from the start of an attempt."""
-        resends = tuple(
-            (wait, self._resend)
-            for wait in RESEND_SECONDS
-            if wait < service.attempt_timeout
-        )
-        return (*resends, (service.attempt_timeout, self._silent))
-
-    def _await_reply(self, attempt: Attempt, waits: Waits) -> None:
-        """Run the first of the waits when it is due, then the others.
-
-        One timer an attempt: most attempts end before their first wait.
-        """
-        if attempt.number not in self.attempts or not waits:
-            return
-        (wait, action), *later = waits
-
-        def due() -> None:
-            if attempt.number in self.attempts:
-                action(attempt)
-                self._await_reply(attempt, tuple(later))
-
-        self._timers.at(attempt.started + wait, due)
-
-    def _send_attempt(self, attempt: Attempt) -> None:
-        left = attempt.job.due - self.clock.monotonic()
-        self._out.append(
-            actions.SendToServer(
-                attempt.number,
-                attempt.server.address,
-                attempt.job.request,
-                max(0.0, left),
-            )
-        )
-
-    def _resend(self, attempt: Attempt) -> None:
-        self.counters["resent_to_server"] += 1
-        self._send_attempt(attempt)
-
-    def _hedge(self, attempt: Attempt) -> None:
-        job = attempt.job
-        dispatcher = self.dispatch[job.token.service]
-        now = self.clock.monotonic()
-        start = dispatcher.second_copy(job, now)
-        if start is None:
-            return
-        self.counters["second_copies"] += 1
-        self._attempt(dispatcher.service, start, now)
-
-    def _end_attempt(self, number: int) -> Attempt | None:
-        attempt = self.attempts.pop(number, None)
-        if attempt is None:
-            return None
-        job = attempt.job
-        job.running.pop(number, None)
-        service = job.token.service
-        self.dispatch[service].release(attempt.server.number)
-        return attempt
-
     def _server_reply(self, reply: actions.ServerReply) -> None:
-        attempt = self._end_attempt(reply.attempt)
+        attempt = self._sent.end(reply.attempt)
         if attempt is None:
             self.counters["late_answers"] += 1
             return
@@ -635,7 +558,7 @@
             self.counters["declined"] += 1
             retry_after = reply.response.retry_after
             dispatcher.declined(attempt.server.number, retry_after, now)
-            self._try_again(job, service, now, reply.response)
+            self._try_again(job, service, now)
         else:
             seconds = now - attempt.started
             dispatcher.answered(job, attempt.server.number, seconds)
@@ -646,17 +569,13 @@
         self,
         job: jobs.Job,
         service: fleets.Service,
-        attempt: Attempt,
+        attempt: sendings.Attempt,
         response: requests.Response,
     ) -> None:
         entry = self.table.find(job.key)
         if entry is None or entry.stage != Stage.DISPATCHED:
             return
-        for number in list(job.running):
-            loser = self._end_attempt(number)
-            self._out.append(
-                actions.CancelAtServer(number, loser.server.address)
-            )
+        self._sent.cancel(job)
         entry.stage = ownership.advance(
             entry.stage, Event.SERVER_ANSWERED
         ).stage
@@ -675,7 +594,6 @@
         job: jobs.Job,
         service: fleets.Service,
         now: float,
-        response: requests.Response,
     ) -> None:
         entry = self.table.find(job.key)
         if entry is None or entry.stage != Stage.DISPATCHED or job.running:
@@ -690,9 +608,7 @@
         ).stage
         self._drop(entry, service)
 
-    def _silent(self, attempt: Attempt) -> None:
-        self._end_attempt(attempt.number)
-        self.counters["server_silent"] += 1
+    def _silent(self, attempt: sendings.Attempt) -> None:
         now = self.clock.monotonic()
         job = attempt.job
         dispatcher = self.dispatch[job.token.service]
@@ -711,9 +627,7 @@
         if job.running:
             return
         if entry.idempotent:
-            self._try_again(
-                job, service, now, requests.Response(requests.Outcome.NOT_RUN)
-            )
+            self._try_again(job, service, now)
             return
         self._leave_unknown(entry, service)
 
