Let a host that wakes blame nobody for its own pause

Both tests failed first (3 of 7 hosts; the queue). After a gap of three periods probe and suspicions start afresh; a gap counts 0.1 s at most in a queue's pace.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -230,3 +230,16 @@
     dispatcher.declined(1, retry_after, NOW)
     assert not dispatcher.servers[1].health.takes_work(NOW)
     assert dispatcher.servers[1].health.takes_work(NOW + 1.01)
+
+
+def test_own_pause_does_not_make_the_queue_look_slow(make):
+    dispatcher = make()
+    fill(dispatcher)
+    for _ in range(30):
+        dispatcher.enqueue(job(caller=object()))
+    dispatcher.release(1)
+    dispatcher.pump(NOW + 0.01)
+    dispatcher.release(1)
+    dispatcher.pump(NOW + 10.0)
+    late = job(arrived=NOW + 10.0, wait=1.0, caller=object())
+    assert dispatcher.admits(late, NOW + 10.0)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -121,6 +121,21 @@
     assert before in group.nodes[3].own_incarnations
 
 
+@pytest.mark.parametrize("target", range(7))
+def test_host_that_wakes_accuses_nobody(group, target):
+    group.run(1.0 + target * 0.06)
+    # It was probing, and suspecting, when it froze.
+    group.cut = {(target, each) for each in range(7)}
+    group.run(0.3)
+    group.cut.clear()
+    group.frozen.add(target)
+    group.run(4.0)
+    group.frozen.clear()
+    group.run(6.0)
+    others = [n for k, n in enumerate(group.nodes) if k != target]
+    assert sum(node.false_deaths for node in others) == 0
+
+
 def test_one_way_cut_between_two_is_bridged_by_helpers(group):
     group.cut = {(0, 1)}
     group.run(30.0)
--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -19,6 +19,7 @@
 MAX_GOSSIP = 8
 RETRANSMIT_FACTOR = 3
 HELPERS = 2
+PAUSE_PERIODS = 3.0
 HEARSAY_FACTOR = 2.0
 ROUNDS_AT_BASE = 3.0
 MAX_DEAD = 4096
@@ -99,6 +100,7 @@
     _round: list[bytes] = attrs.field(factory=list)
     _sequence: int = 0
     _next_probe: float = 0.0
+    _last_tick: float = 0.0
     _next_reconnect: float = 0.0
 
     def __attrs_post_init__(self) -> None:
@@ -170,6 +172,7 @@
     def tick(self, now: float) -> list[Datagram]:
         """Run what is due: probes, helpers, suspicions, reconnects."""
         sent: list[Datagram] = []
+        self._forgive_own_pause(now)
         for incarnation, due in list(self._suspects.items()):
             if due > now:
                 continue
@@ -191,6 +194,19 @@
             sent.extend(self._reconnect())
         return sent
 
+    def _forgive_own_pause(self, now: float) -> None:
+        """Blame nobody for the time in which this host itself stood still."""
+        gap = now - self._last_tick
+        paused = self._last_tick and gap > PAUSE_PERIODS * self.timing.period
+        self._last_tick = now
+        if not paused:
+            return
+        self._probe = None
+        self._suspects = {
+            incarnation: due + gap
+            for incarnation, due in self._suspects.items()
+        }
+
     def receive(
         self, source: addresses.Address, message: object, now: float
     ) -> list[Datagram]:
--- a/vanilladrum/core/queue.py
+++ b/vanilladrum/core/queue.py
@@ -7,6 +7,7 @@
 
 FAIRNESS_SECONDS = 0.02
 SMOOTHING = 0.05
+MAX_GAP_SECONDS = 0.1
 CALLER_SHARE = 8
 MIN_CALLER_LIMIT = 8
 
@@ -93,7 +94,7 @@
     def started(self, now: float) -> None:
         """Learn from a start how fast the queue moves."""
         if self._backlog_since is not None:
-            gap = now - self._backlog_since
+            gap = min(now - self._backlog_since, MAX_GAP_SECONDS)
             self.interval += SMOOTHING * (gap - self.interval)
         self._backlog_since = now if self.size else None
 
