--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Settings, plans and configurations that are refused, with remedies."""
 
+import pathlib
+
 import conftest
 import pytest
 
@@ -55,6 +57,10 @@
         ('tunnel = "127.0.0.1:7002"', "", "direct"),
         ('peer_secret = "5a', 'peer_secret = "zz', "peer_secret"),
         ("[host]", "[host", "TOML"),
+        ("[host]", 'log_level = "loud"\n[host]', "log_level"),
+        ("[host]", "[stop]\ndrain = -1.0\n[host]", "stop.drain"),
+        ("http://127.0.0.1:7003", "ftp://127.0.0.1:7003", "platform.url"),
+        ("http://127.0.0.1:7003", "http://platform:80", "platform.url"),
     ],
 )
 def test_bad_settings_name_file_and_key(write, old, new, named, capsys):
@@ -144,6 +150,14 @@
     assert named in str(caught.value)
 
 
+@pytest.mark.parametrize("name", ["cooperativa", "filzwerk"])
+def test_worked_examples_are_good(write, name):
+    folder = pathlib.Path(__file__).parent.parent / "examples"
+    plan = plans.load(str(folder / f"{name}.py"))
+    path = write(change.printed(plan, base=0))
+    assert len(change.check(change.read_printed(path), path).services) == 2
+
+
 @pytest.mark.parametrize("text", ["plan = 3", "1 / 0", "import nothing_such"])
 def test_bad_plan_is_refused(write, text):
     path = write(text)
--- a/vanilladrum/daemons/entry_host.py
+++ b/vanilladrum/daemons/entry_host.py
@@ -18,6 +18,7 @@
 from vanilladrum.core import membership as memberships
 from vanilladrum.core import peers
 from vanilladrum.core import placement
+from vanilladrum.core import request as requests
 from vanilladrum.daemons import metrics
 from vanilladrum.daemons import settings as settings_module
 from vanilladrum.daemons import sockets
@@ -281,7 +282,7 @@
                 self._cancel_at_server(action)
         self._schedule()
 
-    def _send_on_path(self, path: object, datagram: bytes) -> None:
+    def _send_on_path(self, path: requests.ReplyPath, datagram: bytes) -> None:
         if path.via is None:
             endpoint = self.direct.get(path.service)
             if endpoint is not None:
--- a/vanilladrum/daemons/logs.py
+++ b/vanilladrum/daemons/logs.py
@@ -5,8 +5,6 @@
 
 import structlog
 
-LEVELS = ("debug", "info", "warning", "error")
-
 
 def configure(level: str, **context: object) -> None:
     """Send JSON lines to standard error, each with the given context."""
--- a/vanilladrum/daemons/settings.py
+++ b/vanilladrum/daemons/settings.py
@@ -12,6 +12,8 @@
 
 MIN_SECRET_BYTES = 16
 MAX_HOST_NUMBER = 65535
+MAX_DRAIN_SECONDS = 50.0
+LOG_LEVELS = ("debug", "info", "warning", "error")
 T = TypeVar("T")
 
 
@@ -123,9 +125,35 @@
             "set one, or no caller reaches this host"
         )
     _check_secret(settings, path)
+    _check_rest(settings, path)
     return settings
 
 
+def _check_rest(settings: EntryHostSettings, path: str) -> None:
+    if settings.log_level not in LOG_LEVELS:
+        raise errors.SettingsError(
+            f"{path}: key 'log_level' is {settings.log_level!r}; use one of "
+            f"{LOG_LEVELS}"
+        )
+    if not 0 < settings.stop.drain <= MAX_DRAIN_SECONDS:
+        raise errors.SettingsError(
+            f"{path}: key 'stop.drain' is {settings.stop.drain}; use up to "
+            f"{MAX_DRAIN_SECONDS} seconds"
+        )
+    scheme, _, rest = settings.platform.url.partition("://")
+    if scheme not in ("http", "https"):
+        raise errors.SettingsError(
+            f"{path}: key 'platform.url' is {settings.platform.url!r}; write "
+            "it as http://192.0.2.1:8000"
+        )
+    try:
+        addresses.parse(rest)
+    except errors.AddressError as error:
+        raise errors.SettingsError(
+            f"{path}: key 'platform.url': {error}"
+        ) from error
+
+
 def _check_ports(settings: EntryHostSettings, path: str) -> None:
     seen: dict[addresses.Address, str] = {}
     for key in ("peer", "tunnel", "metrics"):
