--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -155,7 +155,7 @@
     hosts.perform(owner, leaving.start_leaving())
     hosts.run(1.0)
     assert leaving.finished()
-    heir = handover.choose_heir(leaving)
+    heir = handover.heirs(leaving)[0]
     handed = handover.export(leaving)
     handover.adopt(hosts.cores[heir.number], handed)
     del hosts.cores[owner]
--- a/vanilladrum/core/handover.py
+++ b/vanilladrum/core/handover.py
@@ -7,7 +7,6 @@
 from vanilladrum.core import entryhost
 from vanilladrum.core import peers
 from vanilladrum.core import request as requests
-from vanilladrum.core import token as tokens
 
 
 def export(host: entryhost.EntryHost) -> peers.HandOver:
@@ -50,26 +49,22 @@
         host.heirs[ended] = host.membership.me.incarnation
 
 
-def choose_heir(host: entryhost.EntryHost) -> peers.Member | None:
-    """Return the host that should judge in this one's place, or None.
+def heirs(host: entryhost.EntryHost) -> list[peers.Member]:
+    """Return the hosts that could judge in this one's place, best first.
 
-    A host that is no witness of ours is preferred, so that the loss of one
+    Hosts that are no witnesses of ours come first, so that the loss of one
     host does not take both the answers and the records.
     """
     me = host.membership.me
-    others = [each for each in host.membership.alive() if each is not me]
-    if not others:
-        return None
     witnesses = {
-        entry.job.token.witness
-        for entry in host.table.entries.values()
-        if entry.job is not None
+        pair.witness_incarnation
+        for pair in map(host.pair, host.fleet.services if host.fleet else ())
+        if pair is not None
     }
-    witnesses.discard(tokens.NO_HOST)
-    others.sort(
-        key=lambda each: (each.incarnation in witnesses, each.incarnation)
+    return sorted(
+        (each for each in host.membership.trusted() if each is not me),
+        key=lambda each: (each.incarnation in witnesses, each.incarnation),
     )
-    return others[0]
 
 
 def _outcome(
--- a/vanilladrum/daemons/entry_host.py
+++ b/vanilladrum/daemons/entry_host.py
@@ -39,6 +39,7 @@
 JOIN_TIMEOUT_SECONDS = 1.0
 STATUS_KIND = "status"
 CLOSED_REPEATS = 3
+HEIRS_TRIED = 3
 DRAIN_POLL_SECONDS = 0.02
 ANNOUNCE_SECONDS = 0.5
 CONFIGURATION_KIND = "configuration"
@@ -156,16 +157,17 @@
         self.peer.send(self.codec.encode(ping), member.address)
 
     async def _hand_over(self) -> None:
-        heir = handover.choose_heir(self.core)
-        if heir is None:
-            log.warning("no entry host is left to take the table")
-            return
         handed = handover.export(self.core)
         started = self.clock.monotonic()
-        try:
-            await bulk.ask(heir.address, self.codec, handed)
-        except errors.HandOverError as error:
-            log.error("hand-over failed", reason=str(error))
+        for heir in handover.heirs(self.core)[:HEIRS_TRIED]:
+            taken = await bulk.ask(heir.address, self.codec, handed)
+            if taken.is_ok():
+                break
+            # What is handed over are facts: a first heir that took them
+            # without confirming does no harm beside the next one.
+            log.error("hand-over failed", reason=str(taken.err()))
+        else:
+            log.warning("no entry host is left to take the table")
             return
         log.info(
             "table handed over",
@@ -403,12 +405,10 @@
 
     async def _pull_view(self, address: addresses.Address) -> bool:
         asked = peers.PullMembers(self.core.membership.me)
-        try:
-            reply = await bulk.ask(
-                address, self.codec, asked, JOIN_TIMEOUT_SECONDS
-            )
-        except errors.HandOverError:
-            return False
+        answer = await bulk.ask(
+            address, self.codec, asked, JOIN_TIMEOUT_SECONDS
+        )
+        reply = answer.ok()
         if not isinstance(reply, peers.Members):
             return False
         self.core.merge_view(reply)
@@ -472,7 +472,7 @@
     async def _pull(self, source: addresses.Address, generation: int) -> None:
         try:
             asked = peers.PullConfiguration(self.core.generation)
-            reply = await bulk.ask(source, self.codec, asked)
+            reply = (await bulk.ask(source, self.codec, asked)).ok()
             if isinstance(reply, peers.Configuration) and reply.document:
                 plain = cbor2.loads(reply.document)
                 fleet = document.read_fleet(plain, f"entry host {source}")
--- a/vanilladrum/wire/bulk.py
+++ b/vanilladrum/wire/bulk.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import attrs
+import result
 import websockets
 from websockets.asyncio import client
 from websockets.asyncio import server
@@ -77,10 +78,10 @@
     codec: wire_peers.Codec,
     message: object,
     timeout: float = TIMEOUT_SECONDS,
-) -> object:
-    """Send a message to another entry host and return its reply.
+) -> result.Result[object, errors.HandOverError]:
+    """Send a message to another entry host.
 
-    :raises HandOverError: when no valid reply came in time.
+    :returns: its reply, or an error when no valid one came in time.
     """
     try:
         async with asyncio.timeout(timeout):
@@ -88,14 +89,16 @@
                 f"ws://{address}", max_size=MAX_BYTES, compression=None
             ) as connection:
                 await connection.send(codec.encode(message))
-                return codec.decode(await connection.recv())
+                return result.Ok(codec.decode(await connection.recv()))
     except (
         OSError,
         TimeoutError,
         websockets.WebSocketException,
         errors.PacketError,
     ) as error:
-        raise errors.HandOverError(
-            f"entry host at {address} gave no reply "
-            f"({type(error).__name__}); try another"
-        ) from error
+        return result.Err(
+            errors.HandOverError(
+                f"entry host at {address} gave no reply "
+                f"({type(error).__name__}); try another"
+            )
+        )
