Stop the churn of incarnations: order starts, announce, wait for news

A fenced host's next incarnation was fenced as a stranger before its news arrived, and a late rumour of an incarnation in between buried the newest one. Ruled out: slots that leak, the collector, the machine's load (2.5 of 6 cores).

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -39,7 +39,7 @@
         rng = random.Random(self.rng.random())
         me = peers.Member(
             number,
-            rng.randbytes(4),
+            memberships.first_start(self.now + 1.0),
             addresses.Address("10.0.0.1", number + 1),
             "bilbao",
         )
@@ -136,6 +136,34 @@
     assert sum(node.false_deaths for node in others) == 0
 
 
+def test_late_rumour_of_an_older_start_ends_no_newer_one(group):
+    node = group.nodes[3]
+    older = node.me
+    node.take_new_incarnation()
+    between = node.me
+    node.take_new_incarnation()
+    newest = node.me
+    for other in (group.nodes[0], group.nodes[1]):
+        other.merge_all((newest,), 0.0)
+        other.merge_all((between, older), 0.0)
+        assert not other.is_lost(newest.incarnation)
+        assert other.is_lost(between.incarnation)
+        assert other.is_lost(older.incarnation)
+
+
+def test_host_with_a_clock_that_went_back_follows_its_last_start(group):
+    node = group.nodes[3]
+    ahead = node.me
+    for _ in range(500):
+        ahead = attrs.evolve(
+            ahead, start=memberships.following_start(ahead.start)
+        )
+    group.nodes[0].merge_all((ahead,), 0.0)
+    group.run(5.0)
+    assert memberships.newer(node.me.start, ahead.start)
+    assert group.all_see(3, State.ALIVE)
+
+
 def test_one_way_cut_between_two_is_bridged_by_helpers(group):
     group.cut = {(0, 1)}
     group.run(30.0)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -213,6 +213,34 @@
         assert not core.witness.fenced
 
 
+def test_new_incarnation_that_is_not_known_yet_is_not_fenced(hosts):
+    owner = hosts.cores[hosts.dispatcher()]
+    number = owner.membership.me.number
+    service = owner.fleet.services[0]
+    owner.membership.take_new_incarnation()
+    while owner.pair(service).dispatcher is not owner.membership.me:
+        owner.membership.take_new_incarnation()
+    hosts.send(number, hosts.raw())
+    token = hosts.told().token
+    for landing in others(hosts, number):
+        hosts.send(landing, hosts.raw(POST, token=token))
+    for core in hosts.cores.values():
+        assert not core.witness.fenced
+    hosts.run(1.0)
+    hosts.send(others(hosts, number)[0], hosts.raw(POST, token=token))
+    assert len(hosts.to_server) == 1
+
+
+def test_new_incarnation_is_announced_at_once(hosts):
+    owner = hosts.cores[hosts.dispatcher()]
+    hosts.run(0.1)
+    owner.membership.take_new_incarnation()
+    incarnation = owner.membership.me.incarnation
+    hosts.perform(owner.membership.me.number, owner.tick())
+    for core in hosts.cores.values():
+        assert core.membership.find(incarnation) is not None
+
+
 def test_full_table_ignores_instead_of_refusing(hosts):
     token = hosts.connect(1)
     owner = hosts.cores[hosts.dispatcher()]
--- a/vanilladrum/core/entryhost.py
+++ b/vanilladrum/core/entryhost.py
@@ -27,6 +27,7 @@
 
 MAX_HOPS = 4
 OWNER_GRACE_SECONDS = 5
+STRANGER_GRACE_SECONDS = 10
 RECORD_RESEND_SECONDS = (0.03, 0.1)
 RECORD_TIMEOUT_SECONDS = 0.3
 HEIR_LIMIT = 4096
@@ -249,7 +250,12 @@
         Not to know an owner is no reason to give it up: its witness has
         met it, and the dispatcher may have.
         """
+        age = self.clock.wall() - token.issued_at
+        heard_late = age <= STRANGER_GRACE_SECONDS
         if token.witness in self.membership.own_incarnations:
+            if heard_late:
+                self._ignore_stranger()
+                return
             self._judge(packet, service, token)
             return
         witness = self.membership.find(token.witness)
@@ -258,12 +264,20 @@
             self._forward(packet, witness, judge=False)
         elif pair and pair.dispatcher is not self.membership.me:
             self._forward(packet, pair.dispatcher, judge=False)
+        elif heard_late:
+            self._ignore_stranger()
         else:
             self.counters["owner_and_witness_lost"] += 1
             self._reply(
                 packet, self.issuer.unknown(packet.path.caller, service, token)
             )
 
+    def _ignore_stranger(self) -> None:
+        # A fresh token may name an incarnation whose news is on its way;
+        # fencing it would make it take another one, and so on. The caller
+        # repeats its packet.
+        self.counters["stranger_ignored"] += 1
+
     def _ask_judge(
         self,
         packet: actions.CallerPacket,
--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -16,6 +16,8 @@
 from vanilladrum.core import peers
 
 START_BYTES = 4
+START_SPAN = 2**32
+TICKS_A_SECOND = 100
 MAX_GOSSIP = 8
 RETRANSMIT_FACTOR = 3
 HELPERS = 2
@@ -51,6 +53,35 @@
     reconnect: float = 2.0
 
 
+def first_start(wall: float) -> bytes:
+    """Return the start of a process that begins now.
+
+    :param wall: wall-clock seconds.
+    """
+    ticks = int(wall * TICKS_A_SECOND) % START_SPAN
+    return ticks.to_bytes(START_BYTES, "big")
+
+
+def following_start(start: bytes) -> bytes:
+    """Return the start after another one.
+
+    >>> following_start(bytes(4)).hex()
+    '00000001'
+    """
+    after = (int.from_bytes(start, "big") + 1) % START_SPAN
+    return after.to_bytes(START_BYTES, "big")
+
+
+def newer(one: bytes, other: bytes) -> bool:
+    """Return whether a start comes after another; the count wraps round.
+
+    >>> newer(b"\\0\\0\\0\\1", b"\\xff\\xff\\xff\\xff")
+    True
+    """
+    ahead = int.from_bytes(one, "big") - int.from_bytes(other, "big")
+    return 0 < ahead % START_SPAN < START_SPAN // 2
+
+
 @attrs.frozen
 class Datagram:
     """A message to send to a peer."""
@@ -101,6 +132,7 @@
     _sequence: int = 0
     _next_probe: float = 0.0
     _last_tick: float = 0.0
+    _announcing: bool = False
     _next_reconnect: float = 0.0
 
     def __attrs_post_init__(self) -> None:
@@ -152,10 +184,14 @@
         """Announce a planned stop."""
         self._set_me(attrs.evolve(self.me, state=State.LEAVING))
 
-    def take_new_incarnation(self) -> None:
-        """Go on under a new incarnation; others bury the old one."""
-        start = self.rng.randbytes(START_BYTES)
+    def take_new_incarnation(self, after: bytes | None = None) -> None:
+        """Go on under a new incarnation; others bury the old one.
+
+        :param after: start that the new one has to follow, ours if None.
+        """
+        start = following_start(after or self.me.start)
         self._set_me(attrs.evolve(self.me, start=start, refutation=0))
+        self._announcing = True
 
     def bury(self, incarnation: bytes) -> None:
         """Count an incarnation as dead that is known to have ended."""
@@ -164,6 +200,8 @@
 
     def next_timer(self) -> float:
         """Return when :meth:`tick` is due next."""
+        if self._announcing:
+            return self._last_tick
         due = [self._next_probe, *self._suspects.values()]
         if self._probe and not self._probe.asked_helpers:
             due.append(self._probe.started + self.timing.probe_timeout)
@@ -173,6 +211,9 @@
         """Run what is due: probes, helpers, suspicions, reconnects."""
         sent: list[Datagram] = []
         self._forgive_own_pause(now)
+        if self._announcing:
+            self._announcing = False
+            sent.extend(self._announce())
         for incarnation, due in list(self._suspects.items()):
             if due > now:
                 continue
@@ -194,6 +235,16 @@
             sent.extend(self._reconnect())
         return sent
 
+    def _announce(self) -> list[Datagram]:
+        """Tell all others of a new incarnation before tokens name it."""
+        self._sequence += 1
+        ping = self._ping(self._sequence)
+        return [
+            Datagram(member.address, ping)
+            for member in self.members.values()
+            if member.state != State.DEAD
+        ]
+
     def _forgive_own_pause(self, now: float) -> None:
         """Blame nobody for the time in which this host itself stood still."""
         gap = now - self._last_tick
@@ -229,9 +280,17 @@
         gossip = self._gossip()
         known = self.members.get(ping.sender.incarnation)
         if known and known.state in (State.DEAD, State.SUSPECT):
-            gossip = (known, *gossip)
+            gossip = (known, *self._newer_starts(known), *gossip)
         return peers.Ack(ping.sequence, self.me, self.generation, gossip)
 
+    def _newer_starts(self, member: peers.Member) -> list[peers.Member]:
+        return [
+            other
+            for other in self.members.values()
+            if other.number == member.number
+            and newer(other.start, member.start)
+        ][-1:]
+
     def _acknowledged(self, ack: peers.Ack) -> list[Datagram]:
         relayed = self._relayed.pop(ack.sequence, None)
         if relayed:
@@ -364,17 +423,20 @@
         self._suspects.pop(heard.incarnation, None)
 
     def _bury_older(self, heard: peers.Member) -> None:
-        if heard.state == State.DEAD:
-            return
+        """Keep the newest start of a host only, whichever is heard last."""
         for member in list(self.members.values()):
-            if member.number != heard.number:
-                continue
-            if member.start == heard.start or member.state == State.DEAD:
+            if member.number != heard.number or member.start == heard.start:
                 continue
-            self._change(member.incarnation, State.DEAD)
+            if newer(heard.start, member.start):
+                self.bury(member.incarnation)
+            else:
+                self.bury(heard.incarnation)
 
     def _hear_of_me(self, heard: peers.Member) -> None:
         if heard.start != self.me.start:
+            if newer(heard.start, self.me.start):
+                # The clock of this host's last start was ahead.
+                self.take_new_incarnation(after=heard.start)
             return
         if heard.state == State.DEAD:
             self.false_deaths += 1
--- a/vanilladrum/core/peers.py
+++ b/vanilladrum/core/peers.py
@@ -26,7 +26,8 @@
     """What is known of an entry host.
 
     :param number: number of the host, unique in the fleet.
-    :param start: 4 random bytes of this start of its process.
+    :param start: 4 bytes that grow with each start of the host; see
+        :func:`vanilladrum.core.membership.first_start`.
     :param address: peer endpoint, UDP and TCP.
     :param data_centre: name of its data centre.
     :param state: see :class:`vanilladrum.core.membership.State`.
--- a/vanilladrum/daemons/entry_host.py
+++ b/vanilladrum/daemons/entry_host.py
@@ -72,7 +72,7 @@
         )
         me = peers.Member(
             settings.host.number,
-            rng.randbytes(memberships.START_BYTES),
+            memberships.first_start(self.clock.wall()),
             settings.listen.peer,
             settings.host.data_centre,
         )
