End everything on Ctrl-C, also where a shell had it ignored

Cause: started in the background by a shell, the example had SIGINT ignored and ran on; its thread of changes could start a host after the end.

--- a/examples/chaos.py
+++ b/examples/chaos.py
@@ -173,7 +173,7 @@
     path.write_text(clusters.tomli_w.dumps(settings), encoding="utf-8")
     report = cluster.folder / "report.json"
     chaos = Chaos(cluster)
-    thread = threading.Thread(target=chaos.run)
+    thread = threading.Thread(target=chaos.run, daemon=True)
     thread.start()
     started = time.monotonic()
     done = subprocess.run(
--- a/examples/cluster.py
+++ b/examples/cluster.py
@@ -72,6 +72,7 @@
         self.hosts: dict[str, int] = {}
         self.backends: dict[str, int] = {}
         self.failed = False
+        self.closed = False
         self.program = [sys.executable, "-m", "vanilladrum"]
 
     def __enter__(self) -> "Cluster":
@@ -90,6 +91,8 @@
 
     def start(self, name: str, kind: list[str], settings: dict) -> None:
         """Start one process with settings of its own."""
+        if self.closed:
+            raise RuntimeError(f"{name} is not started: the example ends")
         path = self.folder / f"{name}.toml"
         path.write_text(tomli_w.dumps(settings), encoding="utf-8")
         log = open(self.folder / f"{name}.log", "ab")
@@ -271,6 +274,7 @@
 
     def close(self) -> None:
         """End every process that was started here."""
+        self.closed = True
         for process in self.processes.values():
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
--- a/examples/run_cooperativa.py
+++ b/examples/run_cooperativa.py
@@ -159,7 +159,7 @@
     }
     path = cluster.folder / "load.toml"
     path.write_text(clusters.tomli_w.dumps(settings), encoding="utf-8")
-    changes = threading.Thread(target=change, args=(cluster,))
+    changes = threading.Thread(target=change, args=(cluster,), daemon=True)
     changes.start()
     done = subprocess.run(
         [sys.executable, "-m", "vanilladrum", "load", f"--settings={path}"],
@@ -177,6 +177,8 @@
 
 def main() -> None:
     """Run, and end what was started on Ctrl-C too."""
+    # A shell may have started us with SIGINT ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with clusters.Cluster() as cluster:
