--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -153,8 +153,8 @@
         f"{one * SERVICES * 1000:.0f} ms for all services"
     )
     codec = wire_peers.Codec(b"k" * 16)
-    message = peers.Record(b"owner1", b"witnes", bytes(8), bytes(6))
-    reply = peers.Recorded(b"owner1", bytes(8), bytes(6), False)
+    message = peers.Record(b"owner001", b"witness1", bytes(8), bytes(6))
+    reply = peers.Recorded(b"owner001", bytes(8), bytes(6), False)
     pair = len(codec.encode(message)), len(codec.encode(reply))
     spent = timed(lambda: codec.decode(codec.encode(message)), 2000)
     print(
--- a/vanilladrum/core/errors.py
+++ b/vanilladrum/core/errors.py
@@ -47,5 +47,17 @@
     """A conditional update lost against a newer version."""
 
 
+class StoreRefusedError(PlatformError):
+    """The store answered that it did nothing and may be asked again."""
+
+
+class StoreSilentError(PlatformError):
+    """No answer came; a change may have been made or may still be."""
+
+
+class HistoryGoneError(PlatformError):
+    """Changes since a revision are not known any more; list again."""
+
+
 class HandOverError(VanilladrumError):
     """A request table could not be handed over."""
--- /dev/null
+++ b/vanilladrum/core/flowhost.py
@@ -0,0 +1,164 @@
+"""What an entry host does with the packets of flows."""
+
+import collections
+import random
+
+import attrs
+
+from vanilladrum.core import backend as backends
+from vanilladrum.core import balance
+from vanilladrum.core import evidence as evidences
+from vanilladrum.core import flow as flows
+from vanilladrum.core import flowtable
+from vanilladrum.core import routes
+
+
+@attrs.define(eq=False)
+class FlowHost:
+    """Decides on packets; knows no sockets and no clock.
+
+    :param data_centre: name of this host's data centre.
+    :param rng: source of random choices.
+    :param keep: seconds for which the flows of departed servers live.
+    """
+
+    data_centre: str
+    rng: random.Random
+    keep: float = 60.0
+    configuration: routes.FlowConfiguration = routes.NO_CONFIGURATION
+    directory: backends.Directory = attrs.field(init=False)
+    table: flowtable.FlowTable = attrs.field(factory=flowtable.FlowTable)
+    evidence: evidences.Evidence = attrs.field(factory=evidences.Evidence)
+    balancer: balance.Balancer = attrs.field(init=False)
+    counters: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def __attrs_post_init__(self) -> None:
+        self.directory = backends.Directory(self.keep)
+        self.balancer = balance.Balancer(
+            self.data_centre, self.evidence, self.open_flows, self.rng
+        )
+
+    def open_flows(self, tag: int) -> float:
+        """Return how many flows a server has, as far as known here."""
+        return self.table.open[tag]
+
+    def configure(self, offered: routes.FlowConfiguration) -> bool:
+        """Adopt a configuration if it is a newer one.
+
+        :returns: whether it was adopted.
+        """
+        before = self.configuration
+        self.configuration = routes.newer(before, offered)
+        return self.configuration is not before
+
+    def receive(self, packet: flows.Packet, now: float) -> flows.Decision:
+        """Decide on one packet."""
+        route = self.configuration.routes.get(packet.service)
+        if route is None:
+            return self._without_route(packet)
+        if packet.opens:
+            return self._open(packet, route, now)
+        return self._continue(packet, route, now)
+
+    def tick(self, now: float) -> list[backends.Backend]:
+        """Look for first packets that were not answered in time.
+
+        :returns: the servers that are ejected by it.
+        """
+        ejected = []
+        limit = self.evidence.round_trip.limit()
+        for _, server, sent in self.table.overdue(now - limit):
+            self.counters["silent_attempts"] += 1
+            if self.evidence.silent(server, sent, now):
+                self.counters["ejections"] += 1
+                ejected.append(server)
+        self.table.expire(now)
+        self.directory.expire(now)
+        return ejected
+
+    def _without_route(self, packet: flows.Packet) -> flows.Decision:
+        if packet.opens:
+            return flows.Reset("no_route")
+        return flows.Ignore("no_route")
+
+    def _open(
+        self, packet: flows.Packet, route: routes.Route, now: float
+    ) -> flows.Decision:
+        flow = self.table.find(packet.key)
+        if flow is None:
+            return self._begin(packet, route, now)
+        if self._keeps(flow, packet, route):
+            self.table.move(flow, flow.server, now)
+            return flows.Forward(flow.server)
+        servers = self.directory.active(flow.server.service)
+        server = self.balancer.choose(servers, now, avoid=flow.server)
+        if server is None:
+            return flows.Reset("no_server")
+        self.counters["moved_first_packets"] += 1
+        self.table.move(flow, server, now)
+        return flows.Forward(server)
+
+    def _begin(
+        self, packet: flows.Packet, route: routes.Route, now: float
+    ) -> flows.Decision:
+        servers = self.directory.active(route.choose(self.rng))
+        server = self.balancer.choose(servers, now)
+        if server is None:
+            return flows.Reset("no_server")
+        self.table.begin(packet.key, server, now, route.timeout)
+        return flows.Forward(server)
+
+    def _keeps(
+        self,
+        flow: flowtable.OpenFlow,
+        packet: flows.Packet,
+        route: routes.Route,
+    ) -> bool:
+        """Return whether a copy of a first packet follows the first one.
+
+        It must unless the server is silent: two servers that answer one
+        caller would each put their tag into the flow.
+        """
+        server = self.directory.find(flow.server.tag)
+        if server not in self.directory.active(flow.server.service):
+            return False
+        if not route.allows(flow.server.service):
+            return False
+        if not packet.copies:
+            return True
+        record = self.evidence.record(flow.server)
+        return record.answered >= flow.sent
+
+    def _continue(
+        self, packet: flows.Packet, route: routes.Route, now: float
+    ) -> flows.Decision:
+        server = self.directory.find(packet.tag)
+        if server is None:
+            return flows.Ignore("unknown_tag")
+        if not route.allows(server.service):
+            return flows.Ignore("wrong_service")
+        self._notice(packet, server, route, now)
+        return flows.Forward(server)
+
+    def _notice(
+        self,
+        packet: flows.Packet,
+        server: backends.Backend,
+        route: routes.Route,
+        now: float,
+    ) -> None:
+        """Learn from a later packet of a flow."""
+        flow = self.table.find(packet.key)
+        if packet.closes:
+            self.table.end(packet.key)
+            return
+        if flow is None:
+            flow = self.table.begin(packet.key, server, now, route.timeout)
+            flow.answered = True
+            return
+        if flow.answered:
+            return
+        flow.answered = True
+        self.evidence.answered(server, now)
+        if flow.server is server:
+            self.evidence.round_trip.add(now - flow.sent)
--- /dev/null
+++ b/vanilladrum/core/flowtable.py
@@ -0,0 +1,120 @@
+"""Open flows as one entry host sees them.
+
+Nothing here decides where a packet of an open flow goes; the packet says
+that itself. The table tells how many flows each server has and which first
+packets were not answered in time.
+"""
+
+import collections
+
+import attrs
+
+from vanilladrum.core import backend as backends
+
+MAX_FLOWS = 200_000
+
+
+@attrs.define(eq=False)
+class OpenFlow:
+    """A flow whose packets pass through this host.
+
+    :param key: its four addresses and ports.
+    :param opened: when its first packet came, monotonic seconds.
+    :param sent: when that packet was last sent to a server.
+    :param answered: whether the caller has heard from the server.
+    :param ended: whether the caller has closed it or given up.
+    """
+
+    key: bytes
+    server: backends.Backend
+    opened: float
+    sent: float
+    answered: bool = False
+    ended: bool = False
+
+
+@attrs.define
+class FlowTable:
+    """The open flows, and how many each server has.
+
+    :param open: number of flows by the server's tag.
+    """
+
+    flows: dict[bytes, OpenFlow] = attrs.field(factory=dict)
+    open: collections.Counter = attrs.field(factory=collections.Counter)
+    max_flows: int = MAX_FLOWS
+    _waiting: collections.deque = attrs.field(factory=collections.deque)
+    _ends: dict[float, collections.deque] = attrs.field(factory=dict)
+
+    def begin(
+        self,
+        key: bytes,
+        server: backends.Backend,
+        now: float,
+        lifetime: float,
+    ) -> OpenFlow:
+        """Note a flow that begins at a server.
+
+        :param lifetime: seconds after which its caller has given up.
+        """
+        self.end(key)
+        while len(self.flows) >= self.max_flows:
+            self.end(next(iter(self.flows)))
+        flow = OpenFlow(key, server, now, now)
+        self.flows[key] = flow
+        self.open[server.tag] += 1
+        self._waiting.append((now, flow, server))
+        ends = self._ends.setdefault(lifetime, collections.deque())
+        ends.append((now + lifetime, flow))
+        return flow
+
+    def move(
+        self, flow: OpenFlow, server: backends.Backend, now: float
+    ) -> None:
+        """Send the first packet of a flow again, maybe elsewhere."""
+        if server is not flow.server:
+            self._release(flow.server)
+            self.open[server.tag] += 1
+            flow.server = server
+        flow.sent = now
+        self._waiting.append((now, flow, server))
+
+    def find(self, key: bytes) -> OpenFlow | None:
+        """Return an open flow, or None."""
+        return self.flows.get(key)
+
+    def end(self, key: bytes) -> OpenFlow | None:
+        """Forget a flow; return it when it was known."""
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            flow.ended = True
+            self._release(flow.server)
+        return flow
+
+    def overdue(
+        self, sent_before: float
+    ) -> list[tuple[OpenFlow, backends.Backend, float]]:
+        """Return the first packets without an answer, each once.
+
+        :param sent_before: monotonic seconds.
+        :returns: flow, server that was asked, and when.
+        """
+        found = []
+        while self._waiting and self._waiting[0][0] <= sent_before:
+            sent, flow, server = self._waiting.popleft()
+            if not flow.answered and not flow.ended:
+                found.append((flow, server, sent))
+        return found
+
+    def expire(self, now: float) -> None:
+        """Forget the flows whose callers have given up."""
+        for ends in self._ends.values():
+            while ends and ends[0][0] <= now:
+                _, flow = ends.popleft()
+                if not flow.ended:
+                    self.end(flow.key)
+
+    def _release(self, server: backends.Backend) -> None:
+        self.open[server.tag] -= 1
+        if self.open[server.tag] <= 0:
+            del self.open[server.tag]
--- a/vanilladrum/core/peers.py
+++ b/vanilladrum/core/peers.py
@@ -6,6 +6,8 @@
 
 from vanilladrum.core import address as addresses
 
+# An IPv4 number fits, where hosts have no number of their own.
+NUMBER_BYTES = 4
 KINDS: dict[int, type] = {}
 
 
@@ -43,8 +45,8 @@
 
     @property
     def incarnation(self) -> bytes:
-        """Return the 6 bytes that name this start of the host."""
-        return self.number.to_bytes(2, "big") + self.start
+        """Return the 8 bytes that name this start of the host."""
+        return self.number.to_bytes(NUMBER_BYTES, "big") + self.start
 
 
 @message(1)
--- /dev/null
+++ b/vanilladrum/core/routes.py
@@ -0,0 +1,74 @@
+"""The configuration of flows: which service an address leads to."""
+
+import random
+
+import attrs
+
+from vanilladrum.core import generation as generations
+
+
+@attrs.frozen
+class Share:
+    """Part of a route's new flows.
+
+    :param weight: relative to the other shares of the route.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class Route:
+    """Where the flows to one address go.
+
+    :param timeout: seconds after which a caller has given up.
+    """
+
+    name: str
+    shares: tuple[Share, ...]
+    timeout: float
+
+    def allows(self, service: str) -> bool:
+        """Return whether a flow may be at a service."""
+        return any(share.service == service for share in self.shares)
+
+    def choose(self, rng: random.Random) -> str:
+        """Return the service of a new flow.
+
+        >>> Route("r", (Share("a", 0.0), Share("b")), 1.0).choose(
+        ...     random.Random(1))
+        'b'
+        """
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        if not any(weights):
+            weights = [1.0] * len(weights)
+        return rng.choices(self.shares, weights)[0].service
+
+
+@attrs.frozen
+class FlowConfiguration:
+    """A whole configuration of flows.
+
+    :param generation: grows with each accepted change.
+    :param routes: by packed address, 6 bytes.
+    :param idle_timeout: seconds after which a silent flow may be forgotten.
+    """
+
+    generation: int
+    routes: dict[bytes, Route]
+    idle_timeout: float
+
+
+NO_CONFIGURATION = FlowConfiguration(0, {}, 0.0)
+
+
+def newer(
+    in_force: FlowConfiguration, offered: FlowConfiguration
+) -> FlowConfiguration:
+    """Return the configuration to go on with; only ever a higher one."""
+    if generations.adopts(in_force.generation, offered.generation):
+        return offered
+    return in_force
--- a/vanilladrum/core/token.py
+++ b/vanilladrum/core/token.py
@@ -14,10 +14,11 @@
 MIN_KEY_BYTES = 16
 MAX_KEY_ID = 15
 NO_SERVER = 0
-NO_HOST = b"\0" * 6
+HOST_BYTES = 8
+NO_HOST = bytes(HOST_BYTES)
 # format and key, issue time, service, home server, connection id, owner,
 # witness
-_BODY = struct.Struct("!BIHH8s6s6s")
+_BODY = struct.Struct("!BIHH8s8s8s")
 SEALED_BYTES = _BODY.size + TAG_BYTES
 
 
@@ -61,7 +62,7 @@
 
     >>> ring = Keyring.of([Key(1, b"k" * 16)], active=1)
     >>> caller = addresses.Address("127.0.0.1", 4000)
-    >>> token = Token(7, 1, 0, b"c" * 8, b"o" * 6, NO_HOST)
+    >>> token = Token(7, 1, 0, b"c" * 8, b"o" * HOST_BYTES, NO_HOST)
     >>> ring.open(ring.seal(token, caller), caller) == token
     True
     """
--- /dev/null
+++ b/vanilladrum/daemons/flow_host.py
@@ -0,0 +1,268 @@
+"""The entry host on the users' platform: sockets and timers round the core.
+
+It loads only what this mode needs, since it has to serve within a fraction
+of a second after a loss of power.
+"""
+
+import asyncio
+import gc
+import random
+import signal
+import sys
+import time
+
+import attrs
+import uvloop
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+from vanilladrum.core import flow as flows
+from vanilladrum.core import flowhost
+from vanilladrum.daemons import lines
+from vanilladrum.daemons import sockets
+from vanilladrum.daemons import store_follower
+from vanilladrum.platform import objects
+from vanilladrum.platform import packet as packets
+from vanilladrum.platform import ready
+from vanilladrum.platform import settings as node_settings
+from vanilladrum.platform import store as stores
+from vanilladrum.wire import httpd
+
+EXIT_SETTINGS = 2
+# Seconds between two looks at what is due; a fraction of the shortest wait
+# for an answer.
+TICK_SECONDS = 0.02
+# Seconds for a connection to the store or an answer that is due at once.
+STORE_TIMEOUT = 0.5
+# Routers look twice a second and stop sending after two misses.
+ROUTERS_NOTICE_SECONDS = 1.5
+# Without a packet for so long the routers have stopped sending.
+CALM_SECONDS = 0.5
+# Kept free before the platform kills a process that stops.
+GRACE_RESERVE_SECONDS = 0.5
+SETTINGS_SECONDS = 2.0
+
+
+@attrs.define(eq=False)
+class FlowHostDaemon:
+    """One entry host, from its start until SIGTERM.
+
+    :param settings: what the platform told this process.
+    """
+
+    settings: node_settings.NodeSettings
+    log: lines.EventLog
+    stopping: bool = False
+    has_servers: bool = False
+    last_packet: float = 0.0
+    core: flowhost.FlowHost = attrs.field(init=False)
+    store: stores.Store = attrs.field(init=False)
+    contact: store_follower.Contact = attrs.field(init=False)
+    endpoint: sockets.Endpoint | None = None
+    readiness: httpd.HttpEndpoint | None = None
+    tasks: list[asyncio.Task] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.core = flowhost.FlowHost(
+            self.settings.data_centre,
+            random.Random(),
+            self.settings.flow_lifetime,
+        )
+        self.store = stores.Store(self.settings.store, STORE_TIMEOUT)
+        self.contact = store_follower.Contact(self.log)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new flows are wanted here."""
+        known = self.core.configuration.generation and self.has_servers
+        return bool(known) and not self.stopping
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then let the routers turn away."""
+        stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        loop.add_signal_handler(signal.SIGINT, stopped.set)
+        self.endpoint = await sockets.open_endpoint(
+            self.settings.flows, self._received
+        )
+        self.readiness = await ready.serve(
+            self.settings.readiness, lambda: self.is_ready
+        )
+        self._start_tasks()
+        self.log.event("started", cpu_seconds=time.process_time())
+        await stopped.wait()
+        await self._stop()
+
+    def _start_tasks(self) -> None:
+        configuration = store_follower.Follower(
+            self.store,
+            self.contact,
+            objects.CONFIGURATION_KIND,
+            self._configurations_listed,
+            self._configuration_changed,
+        )
+        servers = store_follower.Follower(
+            self.store,
+            self.contact,
+            objects.SERVER_KIND,
+            self._servers_listed,
+            self._server_changed,
+        )
+        sign = store_follower.SignOfLife(self.store, self.contact)
+        for work in (configuration, servers, sign):
+            self.tasks.append(asyncio.create_task(work.run()))
+        self.tasks.append(asyncio.create_task(self._tick()))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            for server in self.core.tick(time.monotonic()):
+                self.log.event(
+                    "server ejected",
+                    server=server.name,
+                    address=server.address,
+                    answer_limit=self.core.evidence.round_trip.limit(),
+                )
+            self.log.flush()
+
+    async def _stop(self) -> None:
+        self.log.event("stopping", open_flows=len(self.core.table.flows))
+        self.stopping = True
+        began = time.monotonic()
+        latest = began + self.settings.grace - GRACE_RESERVE_SECONDS
+        while time.monotonic() < latest:
+            await asyncio.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            noticed = now - began >= ROUTERS_NOTICE_SECONDS
+            if noticed and now - self.last_packet >= CALM_SECONDS:
+                break
+        for task in self.tasks:
+            task.cancel()
+        self.readiness.close()
+        self.endpoint.close()
+        self.log.event("stopped", seconds=time.monotonic() - began)
+        self.log.flush()
+
+    # Packets
+
+    def _received(self, datagram: bytes, _: addresses.Address) -> None:
+        try:
+            packet = packets.decode(datagram)
+        except errors.PacketError as error:
+            self.core.counters[f"refused_{error.kind}"] += 1
+            return
+        now = time.monotonic()
+        self.last_packet = now
+        decision = self.core.receive(packet, now)
+        if type(decision) is flows.Forward:
+            self._forward(packet, decision)
+            return
+        self.core.counters[decision.reason] += 1
+        if type(decision) is flows.Reset:
+            self._reset(packet)
+        if self.log.wants("packet refused"):
+            self.log.event(
+                "packet refused",
+                caller=packets.caller(packet),
+                decision=type(decision).__name__,
+                reason=decision.reason,
+                generation=self.core.configuration.generation,
+            )
+
+    def _forward(self, packet: flows.Packet, decision: flows.Forward) -> None:
+        server = decision.server
+        datagram = packets.to_server(packet, server.identity, server.tag)
+        self.endpoint.send(datagram, server.address)
+        if packet.opens and self.log.wants("flow"):
+            self.log.event(
+                "flow",
+                caller=packets.caller(packet),
+                server=server.name,
+                copies=packet.copies,
+                generation=self.core.configuration.generation,
+            )
+
+    def _reset(self, packet: flows.Packet) -> None:
+        caller = packets.caller(packet)
+        # Routers take packets for callers at the port of this socket.
+        to = addresses.Address(caller.host, self.settings.flows.port)
+        self.endpoint.send(packets.reset(packet), to)
+
+    # Configuration and servers
+
+    def _configurations_listed(
+        self, listed: tuple[objects.Stored, ...]
+    ) -> None:
+        for each in listed:
+            self._configuration_changed(each)
+
+    def _configuration_changed(self, changed: objects.Stored) -> None:
+        if changed.name != objects.CONFIGURATION_NAME or changed.deleted:
+            return
+        try:
+            offered = objects.configuration(changed)
+        except errors.PlatformError as error:
+            self.log.event("configuration refused", reason=str(error))
+            return
+        before = self.core.configuration.generation
+        adopted = self.core.configure(offered)
+        self.log.event(
+            "configuration adopted" if adopted else "configuration kept",
+            offered=offered.generation,
+            before=before,
+            routes=len(offered.routes),
+            revision=changed.revision,
+        )
+
+    def _servers_listed(self, listed: tuple[objects.Stored, ...]) -> None:
+        names = {each.name for each in listed}
+        for name in list(self.core.directory.servers):
+            if name not in names:
+                self._remove_server(name)
+        for each in listed:
+            self._server_changed(each)
+        self.has_servers = True
+
+    def _server_changed(self, changed: objects.Stored) -> None:
+        if changed.deleted:
+            self._remove_server(changed.name)
+            return
+        try:
+            server = objects.server(changed)
+        except errors.PlatformError as error:
+            self.log.event("server refused", reason=str(error))
+            self._remove_server(changed.name)
+            return
+        known = self.core.directory.servers.get(server.name)
+        self.core.directory.put(server)
+        if known is None or known.state is not server.state:
+            self.log.event(
+                "server",
+                server=server.name,
+                state=server.state.value,
+                service=server.service,
+                revision=changed.revision,
+            )
+
+    def _remove_server(self, name: str) -> None:
+        self.core.directory.remove(name, time.monotonic())
+        self.log.event("server gone", server=name)
+
+
+def main() -> None:
+    """Run an entry host; exit 2 on refused settings."""
+    log = lines.open_log()
+    try:
+        settings = node_settings.read(node_settings.path())
+        log.context["host"] = settings.name
+        gc.freeze()
+        uvloop.run(FlowHostDaemon(settings, log).run())
+    except errors.VanilladrumError as error:
+        log.event("refused to start", reason=str(error))
+        log.flush()
+        sys.exit(EXIT_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/vanilladrum/platform/settings.py
@@ -0,0 +1,149 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import os
+import pathlib
+
+import attrs
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
+
+PATH_VARIABLE = "VANILLADRUM_NODE_FILE"
+DEFAULT_PATH = "/etc/vanilladrum/settings.conf"
+MS = 0.001
+
+
+@attrs.frozen
+class NodeSettings:
+    """What a process learns about itself from the platform.
+
+    :param data_centre: name of its data centre.
+    :param flows: endpoint at which callers' packets arrive.
+    :param readiness: endpoint that the routers ask.
+    :param peer: endpoint for other entry hosts.
+    :param seeds: endpoints of a few entry hosts; some may be stale.
+    :param store: endpoint of the platform's store.
+    :param grace: seconds between SIGTERM and SIGKILL.
+    :param reuse_after: seconds until a server's address may be another's.
+    :param flow_lifetime: seconds that a flow may live.
+    :param first_start: whether the whole system starts for the first time.
+    """
+
+    name: str
+    data_centre: str
+    flows: addresses.Address
+    readiness: addresses.Address
+    peer: addresses.Address
+    seeds: tuple[addresses.Address, ...]
+    store: addresses.Address
+    grace: float
+    reuse_after: float
+    flow_lifetime: float
+    first_start: bool = False
+
+
+def path() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def read(where: str) -> NodeSettings:
+    """Read the settings file.
+
+    :raises SettingsError: naming file, key and remedy.
+    """
+    try:
+        text = pathlib.Path(where).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f"{where}: cannot be read ({error}); set {PATH_VARIABLE} to a "
+            "readable file"
+        ) from error
+    return parse(text, where)
+
+
+def parse(text: str, where: str) -> NodeSettings:
+    """Read lines of the form ``key=value``; unknown keys are ignored.
+
+    :raises SettingsError: naming file, key and remedy.
+    """
+    reader = _Reader(dict(_pairs(text)), where)
+    # Everything on a machine answers at one IP number; the range of ports
+    # between entry hosts is the same everywhere.
+    port = reader.integer("internal-ports", part=0)
+    return NodeSettings(
+        name=reader.text("node-name"),
+        data_centre=reader.text("zone"),
+        flows=reader.address("listen-addrs.datagram-addr"),
+        readiness=reader.address("listen-addrs.readiness-addr"),
+        peer=addresses.Address(reader.text("ip"), port),
+        seeds=tuple(
+            addresses.Address(seed.host, port)
+            for seed in reader.address_list("seeds")
+        ),
+        store=reader.address("platform.address"),
+        grace=reader.number("bounds.grace-s", 6.0),
+        reuse_after=reader.number("bounds.reuse-after-s", 2.0),
+        flow_lifetime=reader.number("bounds.flow-ttl-s", 60.0),
+        first_start=reader.optional("bootstrap") == "true",
+    )
+
+
+def _pairs(text: str) -> list[tuple[str, str]]:
+    pairs = []
+    for line in text.splitlines():
+        key, separator, value = line.partition("=")
+        if separator:
+            pairs.append((key.strip(), value.strip()))
+    return pairs
+
+
+@attrs.frozen
+class _Reader:
+    """Typed access to the pairs of one file."""
+
+    values: dict[str, str]
+    where: str
+
+    def optional(self, key: str) -> str:
+        return self.values.get(key, "")
+
+    def text(self, key: str) -> str:
+        found = self.optional(key)
+        if not found:
+            raise self._error(key, "is missing; the platform has to set it")
+        return found
+
+    def address(self, key: str) -> addresses.Address:
+        return self._parse(key, self.text(key))
+
+    def address_list(self, key: str) -> list[addresses.Address]:
+        parts = self.optional(key).split(",")
+        return [self._parse(key, part) for part in parts if part]
+
+    def integer(self, key: str, part: int) -> int:
+        parts = self.text(key).split(",")
+        try:
+            return int(parts[part])
+        except (ValueError, IndexError) as error:
+            raise self._error(
+                key, f"is {self.text(key)!r}; write whole numbers"
+            ) from error
+
+    def number(self, key: str, default: float) -> float:
+        found = self.optional(key)
+        if not found:
+            return default
+        try:
+            return float(found)
+        except ValueError as error:
+            raise self._error(key, f"is {found!r}; write a number") from error
+
+    def _parse(self, key: str, text: str) -> addresses.Address:
+        try:
+            return addresses.parse(text)
+        except errors.AddressError as error:
+            raise self._error(key, f"is refused: {error}") from error
+
+    def _error(self, key: str, message: str) -> errors.SettingsError:
+        return errors.SettingsError(f"{self.where}: key {key!r} {message}")
