--- a/tests/test_entryhost.py
+++ b/tests/test_entryhost.py
@@ -15,6 +15,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
 from vanilladrum.core import request as requests
+from vanilladrum.core import serverstate
 
 Outcome = requests.Outcome
 WITH_IO = {
@@ -146,7 +147,7 @@
     home = hosts.to_server[-1][1].server
     fleet = make_fleet(2)
     servers = tuple(
-        attrs.evolve(each, state=fleets.ServerState.LEAVING)
+        attrs.evolve(each, state=serverstate.ServerState.LEAVING)
         if each.address == home
         else each
         for each in fleet.services[0].servers
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -1,13 +1,11 @@
 """Backend servers of flows and the tags that stand for them."""
 
-import hashlib
+import zlib
 
 import attrs
 
 from vanilladrum.core import address as addresses
-from vanilladrum.core import fleet as fleets
-
-TAG_BYTES = 4
+from vanilladrum.core import serverstate
 
 
 @attrs.frozen(eq=False)
@@ -29,7 +27,7 @@
     address: addresses.Address
     data_centre: str
     slots: int
-    state: fleets.ServerState
+    state: serverstate.ServerState
     warm_up: float = 0.0
     tag: int = attrs.field(init=False)
 
@@ -44,8 +42,9 @@
     >>> make_tag("i-7f3a91c2") == make_tag("i-7f3a91c2") != 0
     True
     """
-    digest = hashlib.blake2b(name.encode(), digest_size=TAG_BYTES).digest()
-    return int.from_bytes(digest, "big") or 1
+    # Ids are random already: a checksum spreads them as well as a hash, and
+    # is there without loading a library.
+    return zlib.crc32(name.encode()) or 1
 
 
 @attrs.define
@@ -120,7 +119,7 @@
             owner = self.by_tag.setdefault(server.tag, server)
             if owner is not server or server.name in self.departed:
                 continue
-            if server.state == fleets.ServerState.ACTIVE:
+            if server.state == serverstate.ServerState.ACTIVE:
                 self.by_service.setdefault(server.service, []).append(server)
 
 
--- a/vanilladrum/core/dispatcher.py
+++ b/vanilladrum/core/dispatcher.py
@@ -9,6 +9,7 @@
 from vanilladrum.core import job as jobs
 from vanilladrum.core import policy as policies
 from vanilladrum.core import queue as queues
+from vanilladrum.core import serverstate
 
 MAX_ATTEMPTS = 3
 BUDGET_CAP = 10.0
@@ -92,7 +93,7 @@
             if number in numbers:
                 continue
             slots.server = attrs.evolve(
-                slots.server, state=fleets.ServerState.LEAVING
+                slots.server, state=serverstate.ServerState.LEAVING
             )
         for server in service.servers:
             known = self.servers.get(server.number)
@@ -281,7 +282,7 @@
         if home.health.ejected_until > job.arrived:
             return False
         # A block-wise transfer ends where it began, leaving or not.
-        active = home.server.state == fleets.ServerState.ACTIVE
+        active = home.server.state == serverstate.ServerState.ACTIVE
         return active or bool(job.request.block)
 
     def _may_use(self, slots: ServerSlots, now: float) -> bool:
@@ -290,7 +291,7 @@
     def _free(self, now: float, job: jobs.Job) -> list[ServerSlots]:
         found = []
         for slots in self.servers.values():
-            if slots.server.state != fleets.ServerState.ACTIVE:
+            if slots.server.state != serverstate.ServerState.ACTIVE:
                 continue
             if slots.busy >= slots.limit(now):
                 continue
--- a/vanilladrum/core/document.py
+++ b/vanilladrum/core/document.py
@@ -11,6 +11,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
+from vanilladrum.core import serverstate
 
 MAX_DOCUMENT_BYTES = 1_000_000
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
@@ -46,7 +47,7 @@
 _CONVERTER.register_unstructure_hook(addresses.Address, str)
 for _kind in (bool, int, float, str):
     _CONVERTER.register_structure_hook(_kind, _read_exact)
-for _kind in (fleets.Priority, fleets.Affinity, fleets.ServerState):
+for _kind in (fleets.Priority, fleets.Affinity, serverstate.ServerState):
     _CONVERTER.register_structure_hook(_kind, _read_enum)
     _CONVERTER.register_unstructure_hook(_kind, _name)
 for _class, _renamed in (
--- a/vanilladrum/core/fleet.py
+++ b/vanilladrum/core/fleet.py
@@ -8,6 +8,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import policy as policies
+from vanilladrum.core import serverstate
 from vanilladrum.core import token as tokens
 
 NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
@@ -29,13 +30,6 @@
     REQUEST = "request"
 
 
-class ServerState(enum.Enum):
-    """Whether a backend server takes new work."""
-
-    ACTIVE = "active"
-    LEAVING = "leaving"
-
-
 @attrs.frozen
 class Server:
     """A backend server.
@@ -52,7 +46,7 @@
     data_centre: str
     address: addresses.Address
     slots: int = 1
-    state: ServerState = ServerState.ACTIVE
+    state: serverstate.ServerState = serverstate.ServerState.ACTIVE
 
 
 @attrs.frozen
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -4,29 +4,28 @@
 of a second after a loss of power.
 """
 
-import asyncio
 import gc
 import random
 import signal
 import sys
-import time
 
 import attrs
-import uvloop
 
 from vanilladrum.core import address as addresses
+from vanilladrum.core import backend as backends
 from vanilladrum.core import errors
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flowhost
 from vanilladrum.daemons import lines
-from vanilladrum.daemons import sockets
 from vanilladrum.daemons import store_follower
 from vanilladrum.platform import objects
 from vanilladrum.platform import packet as packets
 from vanilladrum.platform import ready
 from vanilladrum.platform import settings as node_settings
 from vanilladrum.platform import store as stores
+from vanilladrum.wire import datagrams
 from vanilladrum.wire import httpd
+from vanilladrum.wire import loop as loops
 
 EXIT_SETTINGS = 2
 # Seconds between two looks at what is due; a fraction of the shortest wait
@@ -40,7 +39,6 @@
 CALM_SECONDS = 0.5
 # Kept free before the platform kills a process that stops.
 GRACE_RESERVE_SECONDS = 0.5
-SETTINGS_SECONDS = 2.0
 
 
 @attrs.define(eq=False)
@@ -52,15 +50,15 @@
 
     settings: node_settings.NodeSettings
     log: lines.EventLog
-    stopping: bool = False
+    loop: loops.Loop = attrs.field(factory=loops.Loop)
     has_servers: bool = False
+    asked_to_stop: bool = False
+    asked_to_reload: bool = False
+    stopping_since: float | None = None
     last_packet: float = 0.0
     core: flowhost.FlowHost = attrs.field(init=False)
-    store: stores.Store = attrs.field(init=False)
-    contact: store_follower.Contact = attrs.field(init=False)
-    endpoint: sockets.Endpoint | None = None
-    readiness: httpd.HttpEndpoint | None = None
-    tasks: list[asyncio.Task] = attrs.field(factory=list)
+    endpoint: datagrams.Datagrams = attrs.field(init=False)
+    readiness: httpd.HttpEndpoint = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.core = flowhost.FlowHost(
@@ -68,95 +66,128 @@
             random.Random(),
             self.settings.flow_lifetime,
         )
-        self.store = stores.Store(self.settings.store, STORE_TIMEOUT)
-        self.contact = store_follower.Contact(self.log)
 
     @property
     def is_ready(self) -> bool:
         """Return whether new flows are wanted here."""
         known = self.core.configuration.generation and self.has_servers
-        return bool(known) and not self.stopping
-
-    async def run(self) -> None:
-        """Serve until SIGTERM, then let the routers turn away."""
-        stopped = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, stopped.set)
-        loop.add_signal_handler(signal.SIGINT, stopped.set)
-        self.endpoint = await sockets.open_endpoint(
-            self.settings.flows, self._received
+        return bool(known) and self.stopping_since is None
+
+    def run(self) -> None:
+        """Serve until SIGTERM, then let the routers turn away.
+
+        :raises SettingsError: when an endpoint cannot be bound.
+        """
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._stop_asked)
+        signal.signal(signal.SIGHUP, self._reload_asked)
+        self.endpoint = datagrams.Datagrams.bind(
+            self.loop, self.settings.flows, self._received
         )
-        self.readiness = await ready.serve(
-            self.settings.readiness, lambda: self.is_ready
+        self._follow_store()
+        self.readiness = ready.serve(
+            self.loop, self.settings.readiness, lambda: self.is_ready
         )
-        self._start_tasks()
-        self.log.event("started", cpu_seconds=time.process_time())
-        await stopped.wait()
-        await self._stop()
+        self.loop.every(TICK_SECONDS, self._tick)
+        self.log.event("started")
+        self.loop.run()
+        self.readiness.close()
+        self.endpoint.close()
+        self.log.event("stopped")
+        self.log.flush()
 
-    def _start_tasks(self) -> None:
+    def _follow_store(self) -> None:
+        store = stores.Store(self.loop, self.settings.store, STORE_TIMEOUT)
+        contact = store_follower.Contact(self.loop, store, self.log)
         configuration = store_follower.Follower(
-            self.store,
-            self.contact,
+            self.loop,
+            store,
+            contact,
             objects.CONFIGURATION_KIND,
             self._configurations_listed,
             self._configuration_changed,
         )
         servers = store_follower.Follower(
-            self.store,
-            self.contact,
+            self.loop,
+            store,
+            contact,
             objects.SERVER_KIND,
             self._servers_listed,
             self._server_changed,
         )
-        sign = store_follower.SignOfLife(self.store, self.contact)
-        for work in (configuration, servers, sign):
-            self.tasks.append(asyncio.create_task(work.run()))
-        self.tasks.append(asyncio.create_task(self._tick()))
-
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            for server in self.core.tick(time.monotonic()):
-                self.log.event(
-                    "server ejected",
-                    server=server.name,
-                    address=server.address,
-                    answer_limit=self.core.evidence.round_trip.limit(),
-                )
-            self.log.flush()
-
-    async def _stop(self) -> None:
-        self.log.event("stopping", open_flows=len(self.core.table.flows))
-        self.stopping = True
-        began = time.monotonic()
-        latest = began + self.settings.grace - GRACE_RESERVE_SECONDS
-        while time.monotonic() < latest:
-            await asyncio.sleep(TICK_SECONDS)
-            now = time.monotonic()
-            noticed = now - began >= ROUTERS_NOTICE_SECONDS
-            if noticed and now - self.last_packet >= CALM_SECONDS:
-                break
-        for task in self.tasks:
-            task.cancel()
-        self.readiness.close()
-        self.endpoint.close()
-        self.log.event("stopped", seconds=time.monotonic() - began)
+        servers.start()
+        configuration.start()
+        contact.start()
+
+    # Signals
+
+    def _stop_asked(self, *_: object) -> None:
+        self.asked_to_stop = True
+
+    def _reload_asked(self, *_: object) -> None:
+        self.asked_to_reload = True
+
+    def _tick(self) -> None:
+        now = self.loop.now()
+        for server in self.core.tick(now):
+            self._log_ejection(server)
+        if self.asked_to_reload:
+            self.asked_to_reload = False
+            self._reload()
+        if self.asked_to_stop:
+            self._stop(now)
         self.log.flush()
 
+    def _log_ejection(self, server: backends.Backend) -> None:
+        limit = self.core.evidence.round_trip.limit()
+        self.log.event(
+            "server ejected",
+            server=server.name,
+            address=server.address,
+            answer_limit=round(limit, 4),
+        )
+
+    def _reload(self) -> None:
+        try:
+            offered = node_settings.read(node_settings.path())
+        except errors.SettingsError as error:
+            self.log.event("settings refused", reason=str(error))
+            return
+        fixed = (self.settings.flows, self.settings.readiness)
+        if fixed != (offered.flows, offered.readiness):
+            self.log.event(
+                "settings refused",
+                reason="endpoints cannot move; start the process again",
+            )
+            return
+        self.settings = offered
+        self.log.event("settings reloaded")
+
+    def _stop(self, now: float) -> None:
+        """Go on forwarding until the routers send no more packets."""
+        if self.stopping_since is None:
+            self.stopping_since = now
+            open_flows = len(self.core.table.flows)
+            self.log.event("stopping", open_flows=open_flows)
+        lasted = now - self.stopping_since
+        calm = now - self.last_packet >= CALM_SECONDS
+        latest = self.settings.grace - GRACE_RESERVE_SECONDS
+        if lasted >= latest or calm and lasted >= ROUTERS_NOTICE_SECONDS:
+            self.loop.stop()
+
     # Packets
 
-    def _received(self, datagram: bytes, _: addresses.Address) -> None:
+    def _received(self, datagram: bytes, _: tuple[str, int]) -> None:
         try:
             packet = packets.decode(datagram)
         except errors.PacketError as error:
             self.core.counters[f"refused_{error.kind}"] += 1
             return
-        now = time.monotonic()
+        now = self.loop.now()
         self.last_packet = now
         decision = self.core.receive(packet, now)
         if type(decision) is flows.Forward:
-            self._forward(packet, decision)
+            self._forward(packet, decision.server)
             return
         self.core.counters[decision.reason] += 1
         if type(decision) is flows.Reset:
@@ -170,8 +201,7 @@
                 generation=self.core.configuration.generation,
             )
 
-    def _forward(self, packet: flows.Packet, decision: flows.Forward) -> None:
-        server = decision.server
+    def _forward(self, packet: flows.Packet, server: backends.Backend) -> None:
         datagram = packets.to_server(packet, server.identity, server.tag)
         self.endpoint.send(datagram, server.address)
         if packet.opens and self.log.wants("flow"):
@@ -246,7 +276,7 @@
             )
 
     def _remove_server(self, name: str) -> None:
-        self.core.directory.remove(name, time.monotonic())
+        self.core.directory.remove(name, self.loop.now())
         self.log.event("server gone", server=name)
 
 
@@ -257,7 +287,7 @@
         settings = node_settings.read(node_settings.path())
         log.context["host"] = settings.name
         gc.freeze()
-        uvloop.run(FlowHostDaemon(settings, log).run())
+        FlowHostDaemon(settings, log).run()
     except errors.VanilladrumError as error:
         log.event("refused to start", reason=str(error))
         log.flush()
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -1,8 +1,6 @@
 """Keeps configuration and servers as current as the store allows."""
 
-import asyncio
 from collections.abc import Callable
-import time
 
 import attrs
 
@@ -10,6 +8,7 @@
 from vanilladrum.daemons import lines
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
+from vanilladrum.wire import loop as loops
 
 # A watch waits this long for a change; a shorter wait costs more calls.
 WATCH_SECONDS = 20.0
@@ -25,44 +24,65 @@
 
 @attrs.define(eq=False)
 class Contact:
-    """Whether the store answers.
+    """Whether the store answers; asks for a sign of life when it is quiet.
 
-    :param heard: when it last did, monotonic seconds.
+    :param heard: when it last answered, monotonic seconds.
     :param since: when contact was last regained.
+    :param on_regained: told whenever that happens.
     """
 
+    loop: loops.Loop
+    store: stores.Store
     log: lines.EventLog
-    clock: Callable[[], float] = time.monotonic
     heard: float = float("-inf")
     since: float = float("-inf")
     away: bool = False
-    regained: asyncio.Event = attrs.field(factory=asyncio.Event)
+    on_regained: list[Callable[[], None]] = attrs.field(factory=list)
+    _asking: bool = False
+
+    def start(self) -> None:
+        """Look for quiet from now on."""
+        self.heard = self.loop.now()
+        self.loop.every(RETRY_SECONDS, self._look)
 
     def succeeded(self) -> None:
         """Note an answer."""
-        self.heard = self.clock()
+        self.heard = self.loop.now()
         if not self.away:
             return
         self.away = False
         self.since = self.heard
         self.log.event("store regained")
-        # Whoever waits on a call that was begun before starts it again.
-        self.regained.set()
-        self.regained = asyncio.Event()
+        for told in self.on_regained:
+            told()
 
     def failed(self, error: errors.PlatformError) -> None:
         """Note a call without a useful answer."""
         if self.away:
             return
         self.away = True
-        age = self.clock() - self.heard
+        age = self.loop.now() - self.heard
         self.log.event(
             "store lost", reason=str(error), last_answer_age=round(age, 3)
         )
 
     def returned_lately(self) -> bool:
         """Return whether lapsed entries may still come back."""
-        return self.away or self.clock() - self.since < RETURN_SECONDS
+        return self.away or self.loop.now() - self.since < RETURN_SECONDS
+
+    def _look(self) -> None:
+        quiet = self.loop.now() - self.heard
+        if self._asking or quiet < QUIET_SECONDS and not self.away:
+            return
+        self._asking = True
+        self.store.ping(self._pinged)
+
+    def _pinged(self, outcome: object) -> None:
+        self._asking = False
+        if isinstance(outcome, errors.PlatformError):
+            self.failed(outcome)
+        else:
+            self.succeeded()
 
 
 @attrs.define(eq=False)
@@ -71,77 +91,73 @@
 
     :param on_listing: takes all objects of the kind.
     :param on_change: takes one changed or deleted object.
+    :param pause: seconds between a change and the next watch, so that a
+        kind that changes all the time costs no call a change.
     """
 
+    loop: loops.Loop
     store: stores.Store
     contact: Contact
     kind: str
     on_listing: Callable[[tuple[objects.Stored, ...]], None]
     on_change: Callable[[objects.Stored], None]
-
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        revision = None
-        while True:
-            try:
-                if revision is None:
-                    revision = await self._list()
-                revision = await self._watch(revision)
-            except errors.HistoryGoneError as error:
-                self.contact.log.event(
-                    "history gone", kind=self.kind, reason=str(error)
-                )
-                revision = None
-            except errors.PlatformError as error:
-                self.contact.failed(error)
-                await asyncio.sleep(RETRY_SECONDS)
-
-    async def _list(self) -> int:
-        listing = await self.store.list(self.kind)
-        self.contact.succeeded()
-        self.on_listing(listing.objects)
-        return listing.revision
-
-    async def _watch(self, revision: int) -> int:
-        """Wait for changes; start again when the store comes back."""
-        watching = asyncio.ensure_future(
-            self.store.watch(self.kind, revision, WATCH_SECONDS)
+    pause: float = 0.0
+    revision: int | None = None
+    _round: int = 0
+    _cancel: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        """Follow from now on."""
+        self.contact.on_regained.append(self._restart)
+        self._ask()
+
+    def _restart(self) -> None:
+        """Ask anew: a watch from before an outage may never be answered."""
+        self._cancel()
+        self._ask()
+
+    def _ask(self) -> None:
+        # Whatever an earlier round still has to say is not heard any more.
+        self._round += 1
+        current = self._round
+
+        def answered(outcome: object) -> None:
+            if current == self._round:
+                self._answered(outcome)
+
+        if self.revision is None:
+            self._cancel = lambda: None
+            self.store.list(self.kind, answered)
+            return
+        self._cancel = self.store.watch(
+            self.kind, self.revision, WATCH_SECONDS, answered
         )
-        regained = asyncio.ensure_future(self.contact.regained.wait())
-        try:
-            await asyncio.wait(
-                (watching, regained), return_when=asyncio.FIRST_COMPLETED
+
+    def _answered(self, outcome: object) -> None:
+        pause = 0.0
+        if isinstance(outcome, errors.HistoryGoneError):
+            self.contact.log.event(
+                "history gone", kind=self.kind, reason=str(outcome)
             )
-            if not watching.done():
-                return revision
-            changes = watching.result()
-        finally:
-            watching.cancel()
-            regained.cancel()
+            self.revision = None
+        elif isinstance(outcome, errors.PlatformError):
+            self.contact.failed(outcome)
+            pause = RETRY_SECONDS
+        else:
+            pause = self._take(outcome)
+        current = self._round
+        self.loop.after(pause, lambda: current == self._round and self._ask())
+
+    def _take(self, outcome: stores.Listing | stores.Changes) -> float:
+        """Pass on what came; return the pause before the next call."""
+        self.revision = outcome.revision
+        if isinstance(outcome, stores.Listing):
+            self.on_listing(outcome.objects)
+            pause = 0.0
+        else:
+            for each in outcome.objects:
+                self.on_change(each)
+            pause = self.pause
+        # Told last: it may start this and other followers again.
         self.contact.succeeded()
-        for each in changes.objects:
-            self.on_change(each)
-        return changes.revision
-
-
-@attrs.define(eq=False)
-class SignOfLife:
-    """Asks the store for something small while all watches are quiet."""
-
-    store: stores.Store
-    contact: Contact
-
-    async def run(self) -> None:
-        """Ask until cancelled."""
-        while True:
-            quiet = self.contact.clock() - self.contact.heard
-            if quiet < QUIET_SECONDS and not self.contact.away:
-                await asyncio.sleep(QUIET_SECONDS - quiet)
-                continue
-            try:
-                await self.store.ping()
-            except errors.PlatformError as error:
-                self.contact.failed(error)
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self.contact.succeeded()
+        return pause
--- a/vanilladrum/plan.py
+++ b/vanilladrum/plan.py
@@ -13,6 +13,7 @@
 from vanilladrum.core import document
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
+from vanilladrum.core import serverstate
 
 PLAN_NAME = "plan"
 
@@ -31,9 +32,9 @@
     :param slots: requests that it runs at once.
     :param leaving: True takes new work away from it.
     """
-    state = fleets.ServerState.ACTIVE
+    state = serverstate.ServerState.ACTIVE
     if leaving:
-        state = fleets.ServerState.LEAVING
+        state = serverstate.ServerState.LEAVING
     return fleets.Server(
         name, number, data_centre, addresses.parse(address), slots, state
     )
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -5,8 +5,8 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
 from vanilladrum.core import errors
-from vanilladrum.core import fleet as fleets
 from vanilladrum.core import routes
+from vanilladrum.core import serverstate
 from vanilladrum.platform import packet
 
 CONFIGURATION_KIND = "config"
@@ -14,8 +14,8 @@
 SERVER_KIND = "servers"
 MS = 0.001
 _STATES = {
-    "ready": fleets.ServerState.ACTIVE,
-    "draining": fleets.ServerState.LEAVING,
+    "ready": serverstate.ServerState.ACTIVE,
+    "draining": serverstate.ServerState.LEAVING,
 }
 _BROKEN = (KeyError, TypeError, ValueError, errors.AddressError)
 
--- a/vanilladrum/platform/ready.py
+++ b/vanilladrum/platform/ready.py
@@ -4,14 +4,17 @@
 
 from vanilladrum.core import address as addresses
 from vanilladrum.wire import httpd
+from vanilladrum.wire import loop as loops
 
 PATH = "/vanilladrum/ready"
 READY = httpd.Answer(200)
 NOT_READY = httpd.Answer(503)
 
 
-async def serve(
-    address: addresses.Address, is_ready: Callable[[], bool]
+def serve(
+    loop: loops.Loop,
+    at: addresses.Address,
+    is_ready: Callable[[], bool],
 ) -> httpd.HttpEndpoint:
     """Answer the routers.
 
@@ -22,6 +25,6 @@
     def answer() -> httpd.Answer:
         return READY if is_ready() else NOT_READY
 
-    endpoint = httpd.HttpEndpoint({PATH: answer})
-    await endpoint.serve(address)
+    endpoint = httpd.HttpEndpoint(loop, {PATH: answer})
+    endpoint.listen(at)
     return endpoint
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -1,7 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
 import os
-import pathlib
 
 import attrs
 
@@ -53,7 +52,8 @@
     :raises SettingsError: naming file, key and remedy.
     """
     try:
-        text = pathlib.Path(where).read_text(encoding="utf-8")
+        with open(where, encoding="utf-8") as file:
+            text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(
             f"{where}: cannot be read ({error}); set {PATH_VARIABLE} to a "
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -1,17 +1,27 @@
-"""Client of the platform's store, the only one."""
+"""Client of the platform's store, the only one.
 
-import asyncio
+Every call has a time limit and ends with exactly one outcome: a value or a
+:class:`vanilladrum.core.errors.PlatformError`.
+"""
+
+from collections.abc import Callable
 import json
-from urllib import parse
 
 import attrs
+import httptools
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
-from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
+from vanilladrum.wire import loop as loops
+from vanilladrum.wire import stream as streams
 
 MAX_IDLE_CONNECTIONS = 2
+_OBJECTS = "/vanilladrum/objects"
+_OK = 200
+_ABSENT = 404
+_CONFLICT = 409
+_GONE = 410
 _REFUSED = (429, 503)
 
 
@@ -19,7 +29,7 @@
 class Listing:
     """All objects of a kind.
 
-    :param revision: of the store when the list was made.
+    :param revision: of the store when the list was begun.
     """
 
     objects: tuple[objects.Stored, ...]
@@ -37,166 +47,260 @@
     revision: int
 
 
+@attrs.frozen
+class Alive:
+    """The store has answered."""
+
+
+Done = Callable[[object], None]
+
+
+@attrs.define(eq=False)
+class _Call:
+    """One call on its way.
+
+    :param done: told the plain answer or an error, once.
+    """
+
+    text: str
+    done: Done
+    connection: "_Connection | None" = None
+    ended: bool = False
+
+    def finish(self, outcome: object) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        self.done(outcome)
+
+
+class _Connection:
+    """An HTTP connection; the parser calls its ``on`` methods."""
+
+    def __init__(self, loop: loops.Loop, to: addresses.Address) -> None:
+        self.call: _Call | None = None
+        self.body = b""
+        self.parser = httptools.HttpResponseParser(self)
+        self.stream = streams.Stream.connect(
+            loop, to, self._received, self._ended
+        )
+
+    def send(self, call: _Call, request: bytes) -> None:
+        self.call = call
+        self.body = b""
+        self.parser = httptools.HttpResponseParser(self)
+        self.stream.send(request)
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        call, self.call = self.call, None
+        if not self.parser.should_keep_alive():
+            self.stream.close()
+        if call is not None:
+            call.finish((self.parser.get_status_code(), self.body))
+
+    def _received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.stream.close()
+            self._ended(f"no HTTP response: {error}")
+
+    def _ended(self, reason: str) -> None:
+        call, self.call = self.call, None
+        if call is not None:
+            call.finish(reason)
+
+
 @attrs.define(eq=False)
 class Store:
-    """Calls the store; every call is bounded in time.
+    """Calls the store.
 
-    :param address: of the store.
-    :param timeout: seconds for a connection and for an answer that does
-        not wait for a change.
+    :param at: address of the store.
+    :param timeout: seconds for a connection and an answer that does not
+        wait for a change.
     :param calls: how many calls were made, since each has a price.
     """
 
-    address: addresses.Address
+    loop: loops.Loop
+    at: addresses.Address
     timeout: float
     calls: int = 0
-    _idle: list[connections.Connection] = attrs.field(factory=list)
+    _idle: list[_Connection] = attrs.field(factory=list)
 
-    async def list(self, kind: str) -> Listing:
-        """Return all objects of a kind, page by page.
+    def list(self, kind: str, done: Done) -> None:
+        """Ask for all objects of a kind, page by page.
 
         The revision is that of the first page, so that a watch from there
-        misses nothing that changed between two pages.
+        misses nothing that changes between two pages.
 
-        :raises PlatformError: when the store does not answer.
+        :param done: takes a :class:`Listing` or a PlatformError.
         """
-        found: list[objects.Stored] = []
-        revision = None
-        after = ""
-        while True:
-            path = self._path(kind, {"after": after} if after else {})
-            plain = await self._call("GET", path)
-            items = [objects.stored(each) for each in plain["items"]]
-            found.extend(items)
-            if revision is None:
-                revision = plain["store-revision"]
-            if not plain["has-more"] or not items:
-                return Listing(tuple(found), revision)
-            after = items[-1].name
-
-    async def watch(self, kind: str, revision: int, wait: float) -> Changes:
-        """Return what changed after a revision, waiting for it.
-
-        :param wait: seconds until an empty answer is given.
-        :raises HistoryGoneError: when the kind has to be listed again.
-        :raises PlatformError: when the store does not answer.
+        self._list_page(kind, "", (), None, done)
+
+    def watch(
+        self, kind: str, revision: int, wait: float, done: Done
+    ) -> Callable[[], None]:
+        """Ask what changed after a revision, waiting for it.
+
+        :param wait: seconds until the store gives an empty answer.
+        :param done: takes :class:`Changes` or a PlatformError, which is a
+            HistoryGoneError when the kind has to be listed again.
+        :returns: gives the call up; ``done`` is not called then.
         """
-        query = {"watch": revision, "wait-ms": int(wait * 1000)}
-        path = self._path(kind, query)
-        plain = await self._call("GET", path, wait=wait)
-        events = tuple(
-            objects.stored(each["object"], each["deleted"])
-            for each in plain["events"]
-        )
-        return Changes(events, plain["store-revision"])
 
-    async def ping(self) -> None:
+        def read(plain: dict) -> Changes:
+            events = tuple(
+                objects.stored(each["object"], each["deleted"])
+                for each in plain["events"]
+            )
+            return Changes(events, plain["store-revision"])
+
+        path = f"/{kind}?watch={revision}&wait-ms={int(wait * 1000)}"
+        return self._call("GET", path, read, done, wait=wait)
+
+    def ping(self, done: Done) -> None:
         """Make the cheapest call, to see whether the store answers.
 
-        :raises PlatformError: when it does not.
+        :param done: takes :class:`Alive` or a PlatformError.
         """
-        name = parse.quote(objects.CONFIGURATION_NAME)
-        path = self._path(objects.CONFIGURATION_KIND, {"allow-stale": 1}, name)
-        await self._call("GET", path, absent_ok=True)
+        kind = objects.CONFIGURATION_KIND
+        path = f"/{kind}/{objects.CONFIGURATION_NAME}?allow-stale=1"
+        self._call("GET", path, lambda _: Alive(), done, absent_ok=True)
 
     def drop_idle(self) -> None:
         """Close the connections that wait for a call."""
         for each in self._idle:
-            each.close()
+            each.stream.close()
         self._idle.clear()
 
-    def _path(self, kind: str, query: dict, name: str = "") -> str:
-        text = parse.urlencode(query)
-        path = f"/vanilladrum/objects/{parse.quote(kind)}"
-        if name:
-            path = f"{path}/{name}"
-        return f"{path}?{text}" if text else path
+    def _list_page(
+        self,
+        kind: str,
+        after: str,
+        found: tuple[objects.Stored, ...],
+        revision: int | None,
+        done: Done,
+    ) -> None:
+        def read(plain: dict) -> tuple[tuple, int, bool]:
+            page = tuple(objects.stored(each) for each in plain["items"])
+            return page, plain["store-revision"], plain["has-more"]
+
+        def next_page(outcome: object) -> None:
+            if isinstance(outcome, errors.PlatformError):
+                done(outcome)
+                return
+            page, at, more = outcome
+            first = at if revision is None else revision
+            every = found + page
+            if more and page:
+                self._list_page(kind, page[-1].name, every, first, done)
+                return
+            done(Listing(every, first))
+
+        query = f"?after={after}" if after else ""
+        self._call("GET", f"/{kind}{query}", read, next_page)
 
-    async def _call(
+    def _call(
         self,
         method: str,
         path: str,
+        read: Callable[[dict], object],
+        done: Done,
         wait: float = 0.0,
-        content: object = None,
         absent_ok: bool = False,
-    ) -> dict:
-        body = None
-        if content is not None:
-            body = json.dumps(content).encode()
+    ) -> Callable[[], None]:
+        text = f"{method} {_OBJECTS}{path}"
         self.calls += 1
-        response = await self._exchange(method, path, wait, body)
-        if response.status in _REFUSED:
-            raise errors.StoreRefusedError(
-                f"the store answered {response.status} to {method} {path}; "
-                "nothing was done, ask again later"
-            )
-        if response.status == 410:
-            raise errors.HistoryGoneError(
-                f"the store has no history for {path}; list again"
-            )
-        plain = _read(response, method, path)
-        if response.status == 409:
-            raise errors.ConflictError(
-                f"{method} {path} was refused: the object has changed; read "
-                "it and repeat the change"
-            )
-        if response.status == 404 and absent_ok:
-            return {}
-        if response.status != 200:
-            raise errors.PlatformError(
-                f"the store answered {response.status} to {method} {path}; "
-                "see its page on this call"
+
+        def finished(outcome: object) -> None:
+            if isinstance(outcome, str):
+                self.drop_idle()
+                done(self._silent(text, outcome))
+                return
+            self._keep(call.connection)
+            done(_read(text, outcome, read, absent_ok))
+
+        def give_up(reason: str = "timeout") -> None:
+            if call.ended:
+                return
+            call.connection.call = None
+            call.connection.stream.close()
+            call.finish(reason)
+
+        def cancel() -> None:
+            call.done = lambda _: None
+            give_up("cancelled")
+
+        call = _Call(text, finished)
+        connection = self._take()
+        call.connection = connection
+        request = f"{text} HTTP/1.1\r\nHost: {self.at}\r\n\r\n"
+        connection.send(call, request.encode())
+        self.loop.after(self.timeout + wait, give_up)
+        if not connection.stream.connected:
+            # A way that swallows packets shows in the connection already.
+            self.loop.after(
+                self.timeout,
+                lambda: connection.stream.connected or give_up("no way"),
             )
-        return plain
+        return cancel
 
-    async def _exchange(
-        self, method: str, path: str, wait: float, body: bytes | None
-    ) -> connections.Response:
-        connection = None
-        try:
-            async with asyncio.timeout(self.timeout):
-                connection = await self._connect()
-            async with asyncio.timeout(self.timeout + wait):
-                response = await connection.request(
-                    method, path, str(self.address), body
-                )
-        except (TimeoutError, OSError) as error:
-            self.drop_idle()
-            raise errors.StoreSilentError(
-                f"the store at {self.address} gave no answer to {method} "
-                f"{path} ({type(error).__name__}); check the way to it"
-            ) from error
-        finally:
-            self._keep(connection)
-        return response
-
-    async def _connect(self) -> connections.Connection:
+    def _silent(self, text: str, reason: str) -> errors.StoreSilentError:
+        return errors.StoreSilentError(
+            f"the store at {self.at} gave no answer to {text} ({reason}); "
+            "check the way to it"
+        )
+
+    def _take(self) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable:
+            if not connection.stream.ended:
                 return connection
-        return await connections.Connection.open(self.address)
+        return _Connection(self.loop, self.at)
 
-    def _keep(self, connection: connections.Connection | None) -> None:
-        if connection is None:
+    def _keep(self, connection: _Connection) -> None:
+        if connection.stream.ended:
             return
-        if connection.idle and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append(connection)
             return
-        connection.close()
+        connection.stream.close()
 
 
-def _read(response: connections.Response, method: str, path: str) -> dict:
+def _read(
+    text: str,
+    answer: tuple[int, bytes],
+    read: Callable[[dict], object],
+    absent_ok: bool,
+) -> object:
+    status, body = answer
+    if status in _REFUSED:
+        return errors.StoreRefusedError(
+            f"the store answered {status} to {text}; nothing was done, ask "
+            "again later"
+        )
+    if status == _GONE:
+        return errors.HistoryGoneError(
+            f"the store has no history for {text}; list again"
+        )
+    if status == _CONFLICT:
+        return errors.ConflictError(
+            f"{text} was refused: the object has changed; read it and "
+            "repeat the change"
+        )
+    if status != _OK and not (status == _ABSENT and absent_ok):
+        return errors.PlatformError(
+            f"the store answered {status} to {text}; see its page on this call"
+        )
     try:
-        plain = json.loads(response.body or b"{}")
-    except ValueError as error:
-        raise errors.PlatformError(
-            f"the store's answer to {method} {path} is no JSON ({error}); "
-            "look at what stands between"
-        ) from error
-    if not isinstance(plain, dict):
-        raise errors.PlatformError(
-            f"the store's answer to {method} {path} is no table; look at "
-            "what stands between"
+        return read(json.loads(body or b"{}"))
+    except errors.PlatformError as error:
+        return error
+    except (ValueError, KeyError, TypeError) as error:
+        return errors.PlatformError(
+            f"the store's answer to {text} cannot be read ({error!r}); look "
+            "at what stands between"
         )
-    return plain
--- a/vanilladrum/wire/httpd.py
+++ b/vanilladrum/wire/httpd.py
@@ -1,13 +1,14 @@
-"""A small HTTP endpoint for daemons that must start quickly."""
+"""A small HTTP endpoint for the daemon that has to start quickly."""
 
-import asyncio
 from collections.abc import Callable
+import socket
 
 import attrs
 import httptools
 
 from vanilladrum.core import address as addresses
-from vanilladrum.core import errors
+from vanilladrum.wire import loop as loops
+from vanilladrum.wire import stream as streams
 
 MAX_CONNECTIONS = 64
 _REASONS = {
@@ -27,13 +28,12 @@
 
     status: int
     body: bytes = b""
-    content_type: str = "text/plain; charset=utf-8"
 
     def encode(self) -> bytes:
         """Return the response."""
         head = (
             f"HTTP/1.1 {self.status} {_REASONS[self.status]}\r\n"
-            f"Content-Type: {self.content_type}\r\n"
+            "Content-Type: text/plain; charset=utf-8\r\n"
             f"Content-Length: {len(self.body)}\r\n\r\n"
         )
         return head.encode() + self.body
@@ -42,39 +42,40 @@
 Handlers = dict[str, Callable[[], Answer]]
 
 
-class _Connection(asyncio.Protocol):
-    def __init__(self, endpoint: "HttpEndpoint") -> None:
+class _Connection:
+    """One caller of the endpoint; the parser calls its ``on`` methods."""
+
+    def __init__(self, endpoint: "HttpEndpoint", sock: socket.socket) -> None:
         self.endpoint = endpoint
-        self.transport: asyncio.Transport | None = None
-        self.path = ""
+        self.path = b""
         self.parser = httptools.HttpRequestParser(self)
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
-        self.endpoint.admit(self)
-
-    def connection_lost(self, _: Exception | None) -> None:
-        self.endpoint.connections.pop(self, None)
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.transport.write(Answer(400).encode())
-            self.transport.close()
+        self.stream = streams.Stream(
+            endpoint.loop, sock, self._received, self._ended
+        )
+        self.stream.accept()
 
     def on_message_begin(self) -> None:
-        self.path = ""
+        self.path = b""
 
     def on_url(self, url: bytes) -> None:
-        self.path += url.decode("latin-1")
+        self.path += url
 
     def on_message_complete(self) -> None:
-        handler = self.endpoint.handlers.get(self.path.partition("?")[0])
+        path = self.path.decode("latin-1").partition("?")[0]
+        handler = self.endpoint.handlers.get(path)
         answer = handler() if handler else Answer(404)
-        self.transport.write(answer.encode())
-        if not self.parser.should_keep_alive():
-            self.transport.close()
+        self.stream.send(answer.encode())
+
+    def _received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.stream.send(Answer(400).encode())
+            self.stream.close()
+            self._ended("no HTTP")
+
+    def _ended(self, _: str) -> None:
+        self.endpoint.connections.pop(self, None)
 
 
 @attrs.define(eq=False)
@@ -84,37 +85,28 @@
     :param handlers: what answers, by path.
     """
 
+    loop: loops.Loop
     handlers: Handlers
     connections: dict[_Connection, None] = attrs.field(factory=dict)
-    _server: asyncio.Server | None = None
+    _listener: streams.Listener | None = None
 
-    async def serve(self, address: addresses.Address) -> None:
+    def listen(self, at: addresses.Address) -> None:
         """Listen.
 
         :raises SettingsError: when the endpoint cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        try:
-            self._server = await loop.create_server(
-                lambda: _Connection(self), address.host, address.port
-            )
-        except OSError as error:
-            raise errors.SettingsError(
-                f"TCP {address} cannot be bound ({error.strerror}); end "
-                "what holds it or choose another port"
-            ) from error
-
-    def admit(self, connection: _Connection) -> None:
-        """Keep a connection; the oldest one makes room for it."""
-        self.connections[connection] = None
-        if len(self.connections) > MAX_CONNECTIONS:
-            oldest = next(iter(self.connections))
-            del self.connections[oldest]
-            oldest.transport.abort()
+        self._listener = streams.Listener.bind(self.loop, at, self._accepted)
 
     def close(self) -> None:
         """Stop listening and end all connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for connection in list(self.connections):
-            connection.transport.abort()
+            connection.stream.close()
+
+    def _accepted(self, sock: socket.socket) -> None:
+        self.connections[_Connection(self, sock)] = None
+        if len(self.connections) > MAX_CONNECTIONS:
+            oldest = next(iter(self.connections))
+            del self.connections[oldest]
+            oldest.stream.close()
--- /dev/null
+++ b/vanilladrum/wire/loop.py
@@ -0,0 +1,85 @@
+"""An event loop for the daemon that has to start within milliseconds.
+
+Importing an event loop library takes longer than everything else that an
+entry host does before its first packet.
+"""
+
+from collections.abc import Callable
+import select
+import time
+
+import attrs
+
+from vanilladrum.core import timers as timer_queue
+
+# Upper bound of one wait, in seconds: signals are noticed between waits.
+LONGEST_WAIT = 1.0
+READ = select.EPOLLIN
+WRITE = select.EPOLLOUT
+Handler = Callable[[int], None]
+
+
+@attrs.define(eq=False)
+class Loop:
+    """Runs handlers of descriptors and timers on one thread.
+
+    >>> loop = Loop()
+    >>> loop.after(0.0, loop.stop)
+    >>> loop.run()
+    """
+
+    timers: timer_queue.Timers = attrs.field(factory=timer_queue.Timers)
+    _poll: select.epoll = attrs.field(factory=select.epoll)
+    _handlers: dict[int, Handler] = attrs.field(factory=dict)
+    _running: bool = False
+
+    @staticmethod
+    def now() -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def watch(self, descriptor: int, events: int, handler: Handler) -> None:
+        """Call a handler with the events of a descriptor."""
+        if descriptor in self._handlers:
+            self._poll.modify(descriptor, events)
+        else:
+            self._poll.register(descriptor, events)
+        self._handlers[descriptor] = handler
+
+    def unwatch(self, descriptor: int) -> None:
+        """Forget a descriptor, before it is closed."""
+        if self._handlers.pop(descriptor, None) is not None:
+            self._poll.unregister(descriptor)
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action once, some time from now."""
+        self.timers.at(self.now() + seconds, action)
+
+    def every(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action again and again, first some time from now."""
+
+        def run() -> None:
+            action()
+            self.after(seconds, run)
+
+        self.after(seconds, run)
+
+    def stop(self) -> None:
+        """Let :meth:`run` return after the current round."""
+        self._running = False
+
+    def run(self) -> None:
+        """Run until stopped."""
+        self._running = True
+        while self._running:
+            for descriptor, events in self._poll.poll(self._wait()):
+                handler = self._handlers.get(descriptor)
+                if handler is not None:
+                    handler(events)
+            self.timers.run(self.now())
+
+    def _wait(self) -> float:
+        due = self.timers.next_due()
+        if due is None:
+            return LONGEST_WAIT
+        return min(max(due - self.now(), 0.0), LONGEST_WAIT)
