Load no attrs before the first packet

Cause: attrs with inspect, ast and typing was 31 of 63 ms of a start, and each millisecond of imports costs 11 ms of darkness on a host of 0.236 cores that has just got its power back. Ruled out: bytecode, runpy (2.5 ms). Change: what the flow host loads before its first packet uses plain classes; addresses are a named tuple and parsed by the socket module.

--- a/vanilladrum/core/address.py
+++ b/vanilladrum/core/address.py
@@ -1,9 +1,8 @@
 """Network endpoints of callers, entry hosts and backend servers."""
 
+import collections
 import functools
-import ipaddress
-
-import attrs
+import socket
 
 from vanilladrum.core import errors
 
@@ -11,16 +10,14 @@
 MAX_PORT = 65535
 
 
-@attrs.frozen(order=True)
-class Address:
+class Address(collections.namedtuple("Address", ("host", "port"))):
     """An IP endpoint.
 
     :param host: IPv4 or IPv6 number in text form.
     :param port: UDP or TCP port, 0 to 65535.
     """
 
-    host: str
-    port: int
+    __slots__ = ()
 
     def __str__(self) -> str:
         if ":" in self.host:
@@ -32,9 +29,22 @@
         return _pack(self.host, self.port)
 
 
+def _number(host: str) -> bytes:
+    """Return the bytes of an IP number.
+
+    :raises OSError: when the text is none.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.inet_pton(family, host)
+
+
+def _family(number: bytes) -> int:
+    return socket.AF_INET if len(number) == 4 else socket.AF_INET6
+
+
 @functools.lru_cache(maxsize=65536)
 def _pack(host: str, port: int) -> bytes:
-    return ipaddress.ip_address(host).packed + port.to_bytes(2, "big")
+    return _number(host) + port.to_bytes(PORT_BYTES, "big")
 
 
 @functools.lru_cache(maxsize=65536)
@@ -52,7 +62,7 @@
             f"packed address has {len(data)} bytes; send 6 or 18"
         )
     port = int.from_bytes(data[-PORT_BYTES:], "big")
-    return Address(str(ipaddress.ip_address(number)), port)
+    return Address(socket.inet_ntop(_family(number), number), port)
 
 
 def parse(text: str) -> Address:
@@ -75,10 +85,10 @@
         )
     bare = host.removeprefix("[").removesuffix("]")
     try:
-        number = ipaddress.ip_address(bare)
-    except ValueError as error:
+        number = _number(bare)
+    except (OSError, ValueError) as error:
         raise errors.AddressError(
             f"{bare!r} is no IP number; names are not resolved, "
             "write an IP number"
         ) from error
-    return Address(str(number), port)
+    return Address(socket.inet_ntop(_family(number), number), port)
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -2,13 +2,10 @@
 
 import zlib
 
-import attrs
-
 from vanilladrum.core import address as addresses
 from vanilladrum.core import serverstate
 
 
-@attrs.frozen(eq=False)
 class Backend:
     """A backend server as it describes itself.
 
@@ -20,20 +17,28 @@
     :param tag: stands for the server in packets; never 0.
     """
 
-    name: str
-    identity: bytes
-    started: int
-    service: str
-    address: addresses.Address
-    data_centre: str
-    slots: int
-    state: serverstate.ServerState
-    warm_up: float = 0.0
-    tag: int = attrs.field(init=False)
-
-    @tag.default
-    def _make_tag(self) -> int:
-        return make_tag(self.name)
+    def __init__(
+        self,
+        name: str,
+        identity: bytes,
+        started: int,
+        service: str,
+        address: addresses.Address,
+        data_centre: str,
+        slots: int,
+        state: serverstate.ServerState,
+        warm_up: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.identity = identity
+        self.started = started
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = slots
+        self.state = state
+        self.warm_up = warm_up
+        self.tag = make_tag(name)
 
 
 def make_tag(name: str) -> int:
@@ -47,29 +52,20 @@
     return zlib.crc32(name.encode()) or 1
 
 
-@attrs.define
-class Departed:
-    """A server whose entry has gone, kept for its open flows.
-
-    :param since: monotonic seconds.
-    """
-
-    server: Backend
-    since: float
-
-
-@attrs.define
 class Directory:
     """The servers that may be used, and those that only have open flows.
 
     :param keep: seconds for which departed servers stay known.
     """
 
-    keep: float = 60.0
-    servers: dict[str, Backend] = attrs.field(factory=dict)
-    departed: dict[str, Departed] = attrs.field(factory=dict)
-    by_tag: dict[int, Backend] = attrs.field(factory=dict)
-    by_service: dict[str, list[Backend]] = attrs.field(factory=dict)
+    def __init__(self, keep: float = 60.0) -> None:
+        self.keep = keep
+        self.servers: dict[str, Backend] = {}
+        # Servers whose entries have gone, each with the time until which
+        # packets of its open flows may still come.
+        self.departed: dict[str, tuple[Backend, float]] = {}
+        self.by_tag: dict[int, Backend] = {}
+        self.by_service: dict[str, list[Backend]] = {}
 
     def put(self, server: Backend) -> None:
         """Take in a server's entry or its change."""
@@ -84,15 +80,13 @@
         server = self.servers.pop(name, None)
         if server is None:
             return
-        self.departed[name] = Departed(server, now)
+        self.departed[name] = (server, now + self.keep)
         self._index()
 
     def expire(self, now: float) -> None:
         """Forget departed servers whose flows have ended."""
         old = [
-            name
-            for name, departed in self.departed.items()
-            if departed.since + self.keep <= now
+            name for name, (_, until) in self.departed.items() if until <= now
         ]
         for name in old:
             del self.departed[name]
@@ -110,7 +104,7 @@
     def _index(self) -> None:
         self.by_tag = {}
         self.by_service = {}
-        every = [each.server for each in self.departed.values()]
+        every = [server for server, _ in self.departed.values()]
         every.extend(self.servers.values())
         for server in sorted(every, key=lambda each: each.name):
             # Of two servers with one tag the first by name has it on every
@@ -124,6 +118,4 @@
 
 
 def _changed(known: Backend, server: Backend) -> bool:
-    return attrs.astuple(known, recurse=False) != attrs.astuple(
-        server, recurse=False
-    )
+    return vars(known) != vars(server)
--- a/vanilladrum/core/balance.py
+++ b/vanilladrum/core/balance.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 import random
 
-import attrs
-
 from vanilladrum.core import backend as backends
 from vanilladrum.core import evidence as evidences
 from vanilladrum.core import policy as policies
@@ -17,21 +15,20 @@
 POLICY = "least_busy"
 
 
-@attrs.frozen
 class Candidate:
     """A server with its load, as policies look at it.
 
-    :param number: not used by the policies of flows.
     :param busy: open flows, and what distance adds.
     """
 
-    server: backends.Backend
-    busy: float
-    slots: float
-    number: int = 0
+    def __init__(
+        self, server: backends.Backend, busy: float, slots: float
+    ) -> None:
+        self.server = server
+        self.busy = busy
+        self.slots = slots
 
 
-@attrs.define
 class Balancer:
     """Chooses among the servers of a service.
 
@@ -39,13 +36,18 @@
     :param open_flows: returns the open flows of a server, by its tag.
     """
 
-    data_centre: str
-    evidence: evidences.Evidence
-    open_flows: Callable[[int], float]
-    rng: random.Random
-    policy: policies.Choice = attrs.field(
-        factory=lambda: policies.find(POLICY)
-    )
+    def __init__(
+        self,
+        data_centre: str,
+        evidence: evidences.Evidence,
+        open_flows: Callable[[int], float],
+        rng: random.Random,
+    ) -> None:
+        self.data_centre = data_centre
+        self.evidence = evidence
+        self.open_flows = open_flows
+        self.rng = rng
+        self.policy = policies.find(POLICY)
 
     def choose(
         self,
--- a/vanilladrum/core/evidence.py
+++ b/vanilladrum/core/evidence.py
@@ -7,8 +7,6 @@
 
 import enum
 
-import attrs
-
 from vanilladrum.core import backend as backends
 from vanilladrum.core import health as healths
 
@@ -34,7 +32,6 @@
     EJECTED = 2
 
 
-@attrs.define
 class Record:
     """What was seen of one server.
 
@@ -43,18 +40,19 @@
     :param silent: when a silent attempt was last noticed.
     """
 
-    started: int
-    health: healths.Health
-    answered: float = float("-inf")
-    silent: float = float("-inf")
+    def __init__(self, started: int) -> None:
+        self.started = started
+        self.health = healths.Health(THRESHOLDS)
+        self.answered = float("-inf")
+        self.silent = float("-inf")
 
 
-@attrs.define
 class RoundTrip:
     """Smoothed time from a first packet to the caller's next one."""
 
-    mean: float = 0.0
-    spread: float = 0.0
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.spread = 0.0
 
     def add(self, seconds: float) -> None:
         """Take in one measurement."""
@@ -74,19 +72,18 @@
         return min(max(found, SHORTEST_WAIT), LONGEST_WAIT)
 
 
-@attrs.define
 class Evidence:
     """Standing of every server, as this host sees it."""
 
-    records: dict[int, Record] = attrs.field(factory=dict)
-    round_trip: RoundTrip = attrs.field(factory=RoundTrip)
+    def __init__(self) -> None:
+        self.records: dict[int, Record] = {}
+        self.round_trip = RoundTrip()
 
     def record(self, server: backends.Backend) -> Record:
         """Return the record of this start of a server."""
         found = self.records.get(server.tag)
         if found is None or found.started != server.started:
-            health = healths.Health(THRESHOLDS)
-            found = Record(server.started, health)
+            found = Record(server.started)
             self.records[server.tag] = found
         return found
 
--- a/vanilladrum/core/flow.py
+++ b/vanilladrum/core/flow.py
@@ -1,11 +1,8 @@
 """Packets of flows and what an entry host decides about them."""
 
-import attrs
-
 from vanilladrum.core import backend as backends
 
 
-@attrs.frozen
 class Packet:
     """A caller's packet.
 
@@ -18,40 +15,58 @@
     :param raw: the whole packet.
     """
 
-    key: bytes
-    service: bytes
-    opens: bool
-    copies: int
-    closes: bool
-    tag: int
-    raw: bytes = attrs.field(repr=False)
+    __slots__ = ("key", "service", "opens", "copies", "closes", "tag", "raw")
+
+    def __init__(
+        self,
+        key: bytes,
+        service: bytes,
+        opens: bool,
+        copies: int,
+        closes: bool,
+        tag: int,
+        raw: bytes,
+    ) -> None:
+        self.key = key
+        self.service = service
+        self.opens = opens
+        self.copies = copies
+        self.closes = closes
+        self.tag = tag
+        self.raw = raw
 
 
-@attrs.frozen
 class Forward:
     """Send the packet to a backend server."""
 
-    server: backends.Backend
+    __slots__ = ("server",)
+
+    def __init__(self, server: backends.Backend) -> None:
+        self.server = server
 
 
-@attrs.frozen
 class Reset:
     """Tell the caller that its flow was not opened.
 
     :param reason: counter name, such as ``no_route``.
     """
 
-    reason: str
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
 
 
-@attrs.frozen
 class Ignore:
     """Leave the packet unanswered.
 
     :param reason: counter name, such as ``unknown_tag``.
     """
 
-    reason: str
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
 
 
 Decision = Forward | Reset | Ignore
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -3,8 +3,6 @@
 import collections
 import random
 
-import attrs
-
 from vanilladrum.core import backend as backends
 from vanilladrum.core import balance
 from vanilladrum.core import evidence as evidences
@@ -13,7 +11,6 @@
 from vanilladrum.core import routes
 
 
-@attrs.define(eq=False)
 class FlowHost:
     """Decides on packets; knows no sockets and no clock.
 
@@ -22,21 +19,19 @@
     :param keep: seconds for which the flows of departed servers live.
     """
 
-    data_centre: str
-    rng: random.Random
-    keep: float = 60.0
-    configuration: routes.FlowConfiguration = routes.NO_CONFIGURATION
-    directory: backends.Directory = attrs.field(init=False)
-    table: flowtable.FlowTable = attrs.field(factory=flowtable.FlowTable)
-    evidence: evidences.Evidence = attrs.field(factory=evidences.Evidence)
-    balancer: balance.Balancer = attrs.field(init=False)
-    counters: collections.Counter = attrs.field(factory=collections.Counter)
-
-    def __attrs_post_init__(self) -> None:
-        self.directory = backends.Directory(self.keep)
+    def __init__(
+        self, data_centre: str, rng: random.Random, keep: float = 60.0
+    ) -> None:
+        self.data_centre = data_centre
+        self.rng = rng
+        self.configuration = routes.NO_CONFIGURATION
+        self.directory = backends.Directory(keep)
+        self.table = flowtable.FlowTable()
+        self.evidence = evidences.Evidence()
         self.balancer = balance.Balancer(
-            self.data_centre, self.evidence, self.open_flows, self.rng
+            data_centre, self.evidence, self.open_flows, rng
         )
+        self.counters: collections.Counter = collections.Counter()
 
     def open_flows(self, tag: int) -> float:
         """Return how many flows a server has, as far as known here."""
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -7,14 +7,11 @@
 
 import collections
 
-import attrs
-
 from vanilladrum.core import backend as backends
 
 MAX_FLOWS = 200_000
 
 
-@attrs.define(eq=False)
 class OpenFlow:
     """A flow whose packets pass through this host.
 
@@ -25,26 +22,31 @@
     :param ended: whether the caller has closed it or given up.
     """
 
-    key: bytes
-    server: backends.Backend
-    opened: float
-    sent: float
-    answered: bool = False
-    ended: bool = False
+    __slots__ = ("key", "server", "opened", "sent", "answered", "ended")
+
+    def __init__(
+        self, key: bytes, server: backends.Backend, opened: float
+    ) -> None:
+        self.key = key
+        self.server = server
+        self.opened = opened
+        self.sent = opened
+        self.answered = False
+        self.ended = False
 
 
-@attrs.define
 class FlowTable:
     """The open flows, and how many each server has.
 
     :param open: number of flows by the server's tag.
     """
 
-    flows: dict[bytes, OpenFlow] = attrs.field(factory=dict)
-    open: collections.Counter = attrs.field(factory=collections.Counter)
-    max_flows: int = MAX_FLOWS
-    _waiting: collections.deque = attrs.field(factory=collections.deque)
-    _ends: dict[float, collections.deque] = attrs.field(factory=dict)
+    def __init__(self, max_flows: int = MAX_FLOWS) -> None:
+        self.flows: dict[bytes, OpenFlow] = {}
+        self.open: collections.Counter = collections.Counter()
+        self.max_flows = max_flows
+        self._waiting: collections.deque = collections.deque()
+        self._ends: dict[float, collections.deque] = {}
 
     def begin(
         self,
@@ -60,7 +62,7 @@
         self.end(key)
         while len(self.flows) >= self.max_flows:
             self.end(next(iter(self.flows)))
-        flow = OpenFlow(key, server, now, now)
+        flow = OpenFlow(key, server, now)
         self.flows[key] = flow
         self.open[server.tag] += 1
         self._waiting.append((now, flow, server))
--- a/vanilladrum/core/health.py
+++ b/vanilladrum/core/health.py
@@ -1,9 +1,6 @@
 """Health of a backend server, from the outcomes of its own requests."""
 
-import attrs
 
-
-@attrs.frozen
 class Thresholds:
     """When a server is ejected and for how long, in seconds.
 
@@ -14,22 +11,33 @@
     :param decline_pause: rest of a server that declined work.
     """
 
-    consecutive: int = 3
-    first_ejection: float = 1.0
-    longest_ejection: float = 30.0
-    floor: float = 0.5
-    decline_pause: float = 0.05
+    def __init__(
+        self,
+        consecutive: int = 3,
+        first_ejection: float = 1.0,
+        longest_ejection: float = 30.0,
+        floor: float = 0.5,
+        decline_pause: float = 0.05,
+    ) -> None:
+        self.consecutive = consecutive
+        self.first_ejection = first_ejection
+        self.longest_ejection = longest_ejection
+        self.floor = floor
+        self.decline_pause = decline_pause
+
+
+DEFAULT_THRESHOLDS = Thresholds()
 
 
-@attrs.define
 class Health:
     """What the recent outcomes of one server say."""
 
-    thresholds: Thresholds = attrs.field(factory=Thresholds)
-    failures: int = 0
-    ejections: int = 0
-    ejected_until: float = 0.0
-    paused_until: float = 0.0
+    def __init__(self, thresholds: Thresholds = DEFAULT_THRESHOLDS) -> None:
+        self.thresholds = thresholds
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.paused_until = 0.0
 
     def succeeded(self) -> None:
         """Count an answer; forgives earlier failures."""
--- a/vanilladrum/core/policy.py
+++ b/vanilladrum/core/policy.py
@@ -3,17 +3,19 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import random
-from typing import Protocol
 
 from vanilladrum.core import errors
 
 
-class Slots(Protocol):
-    """What a choice of server may look at."""
+class Slots:
+    """What a choice of server may look at.
 
-    number: int
-    busy: int
-    slots: int
+    :param busy: requests or flows that the server has now.
+    :param slots: how many it serves at once.
+    """
+
+    busy: float
+    slots: float
 
 
 Choice = Callable[[Sequence[Slots], random.Random], Slots]
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -2,32 +2,32 @@
 
 import random
 
-import attrs
-
 from vanilladrum.core import generation as generations
 
 
-@attrs.frozen
 class Share:
     """Part of a route's new flows.
 
     :param weight: relative to the other shares of the route.
     """
 
-    service: str
-    weight: float = 1.0
+    def __init__(self, service: str, weight: float = 1.0) -> None:
+        self.service = service
+        self.weight = weight
 
 
-@attrs.frozen
 class Route:
     """Where the flows to one address go.
 
     :param timeout: seconds after which a caller has given up.
     """
 
-    name: str
-    shares: tuple[Share, ...]
-    timeout: float
+    def __init__(
+        self, name: str, shares: tuple[Share, ...], timeout: float
+    ) -> None:
+        self.name = name
+        self.shares = shares
+        self.timeout = timeout
 
     def allows(self, service: str) -> bool:
         """Return whether a flow may be at a service."""
@@ -48,7 +48,6 @@
         return rng.choices(self.shares, weights)[0].service
 
 
-@attrs.frozen
 class FlowConfiguration:
     """A whole configuration of flows.
 
@@ -57,9 +56,12 @@
     :param idle_timeout: seconds after which a silent flow may be forgotten.
     """
 
-    generation: int
-    routes: dict[bytes, Route]
-    idle_timeout: float
+    def __init__(
+        self, generation: int, routes: dict[bytes, Route], idle_timeout: float
+    ) -> None:
+        self.generation = generation
+        self.routes = routes
+        self.idle_timeout = idle_timeout
 
 
 NO_CONFIGURATION = FlowConfiguration(0, {}, 0.0)
--- a/vanilladrum/core/timers.py
+++ b/vanilladrum/core/timers.py
@@ -3,10 +3,7 @@
 from collections.abc import Callable
 import heapq
 
-import attrs
 
-
-@attrs.define
 class Timers:
     """Actions ordered by the time at which they are due.
 
@@ -18,10 +15,9 @@
     (None, ['early'], 2.0)
     """
 
-    _heap: list[tuple[float, int, Callable[[], None]]] = attrs.field(
-        factory=list
-    )
-    _order: int = 0
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
 
     def at(self, due: float, action: Callable[[], None]) -> None:
         """Run an action once a time has come; it cannot be taken back."""
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -9,8 +9,6 @@
 import signal
 import sys
 
-import attrs
-
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
 from vanilladrum.core import errors
@@ -41,31 +39,28 @@
 GRACE_RESERVE_SECONDS = 0.5
 
 
-@attrs.define(eq=False)
 class FlowHostDaemon:
     """One entry host, from its start until SIGTERM.
 
     :param settings: what the platform told this process.
     """
 
-    settings: node_settings.NodeSettings
-    log: lines.EventLog
-    loop: loops.Loop = attrs.field(factory=loops.Loop)
-    has_servers: bool = False
-    asked_to_stop: bool = False
-    asked_to_reload: bool = False
-    stopping_since: float | None = None
-    last_packet: float = 0.0
-    core: flowhost.FlowHost = attrs.field(init=False)
-    endpoint: datagrams.Datagrams = attrs.field(init=False)
-    readiness: httpd.HttpEndpoint = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
+    def __init__(
+        self, settings: node_settings.NodeSettings, log: lines.EventLog
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.loop = loops.Loop()
         self.core = flowhost.FlowHost(
-            self.settings.data_centre,
-            random.Random(),
-            self.settings.flow_lifetime,
+            settings.data_centre, random.Random(), settings.flow_lifetime
         )
+        self.has_servers = False
+        self.asked_to_stop = False
+        self.asked_to_reload = False
+        self.stopping_since: float | None = None
+        self.last_packet = 0.0
+        self.endpoint: datagrams.Datagrams | None = None
+        self.readiness: httpd.HttpEndpoint | None = None
 
     @property
     def is_ready(self) -> bool:
--- a/vanilladrum/daemons/lines.py
+++ b/vanilladrum/daemons/lines.py
@@ -7,8 +7,6 @@
 import sys
 import time
 
-import attrs
-
 # A pipe that polls as writable takes this much without blocking (PIPE_BUF).
 CHUNK_BYTES = 4096
 # About ten seconds of lines at the highest rate below.
@@ -18,7 +16,6 @@
 LINES_A_SECOND = 100
 
 
-@attrs.define(eq=False)
 class LineWriter:
     """Buffers lines and writes what the other end takes.
 
@@ -26,9 +23,10 @@
     :param dropped: lines that found no room since the last report.
     """
 
-    descriptor: int
-    dropped: int = 0
-    _buffer: bytearray = attrs.field(factory=bytearray)
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.dropped = 0
+        self._buffer = bytearray()
 
     def write(self, line: str) -> None:
         """Add a line, or count it when there is no room."""
@@ -55,19 +53,24 @@
         return bool(poll.poll(0))
 
 
-@attrs.define(eq=False)
 class EventLog:
     """Writes one line an event, with a bound on each event's rate.
 
     :param context: fields of every line.
     """
 
-    writer: LineWriter
-    context: dict[str, object]
-    limit: int = LINES_A_SECOND
-    _second: int = 0
-    _written: collections.Counter = attrs.field(factory=collections.Counter)
-    _left_out: collections.Counter = attrs.field(factory=collections.Counter)
+    def __init__(
+        self,
+        writer: LineWriter,
+        context: dict[str, object],
+        limit: int = LINES_A_SECOND,
+    ) -> None:
+        self.writer = writer
+        self.context = context
+        self.limit = limit
+        self._second = 0
+        self._written: collections.Counter = collections.Counter()
+        self._left_out: collections.Counter = collections.Counter()
 
     def event(self, event: str, **fields: object) -> None:
         """Write a line unless the event comes too often."""
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from vanilladrum.core import errors
 from vanilladrum.daemons import lines
 from vanilladrum.platform import objects
@@ -22,7 +20,6 @@
 RETURN_SECONDS = 2.5
 
 
-@attrs.define(eq=False)
 class Contact:
     """Whether the store answers; asks for a sign of life when it is quiet.
 
@@ -31,14 +28,17 @@
     :param on_regained: told whenever that happens.
     """
 
-    loop: loops.Loop
-    store: stores.Store
-    log: lines.EventLog
-    heard: float = float("-inf")
-    since: float = float("-inf")
-    away: bool = False
-    on_regained: list[Callable[[], None]] = attrs.field(factory=list)
-    _asking: bool = False
+    def __init__(
+        self, loop: loops.Loop, store: stores.Store, log: lines.EventLog
+    ) -> None:
+        self.loop = loop
+        self.store = store
+        self.log = log
+        self.heard = float("-inf")
+        self.since = float("-inf")
+        self.away = False
+        self.on_regained: list[Callable[[], None]] = []
+        self._asking = False
 
     def start(self) -> None:
         """Look for quiet from now on."""
@@ -85,7 +85,6 @@
             self.succeeded()
 
 
-@attrs.define(eq=False)
 class Follower:
     """Lists one kind of objects and watches it for ever.
 
@@ -95,16 +94,26 @@
         kind that changes all the time costs no call a change.
     """
 
-    loop: loops.Loop
-    store: stores.Store
-    contact: Contact
-    kind: str
-    on_listing: Callable[[tuple[objects.Stored, ...]], None]
-    on_change: Callable[[objects.Stored], None]
-    pause: float = 0.0
-    revision: int | None = None
-    _round: int = 0
-    _cancel: Callable[[], None] = lambda: None
+    def __init__(
+        self,
+        loop: loops.Loop,
+        store: stores.Store,
+        contact: Contact,
+        kind: str,
+        on_listing: Callable[[tuple[objects.Stored, ...]], None],
+        on_change: Callable[[objects.Stored], None],
+        pause: float = 0.0,
+    ) -> None:
+        self.loop = loop
+        self.store = store
+        self.contact = contact
+        self.kind = kind
+        self.on_listing = on_listing
+        self.on_change = on_change
+        self.pause = pause
+        self.revision: int | None = None
+        self._round = 0
+        self._cancel: Callable[[], None] = _nothing
 
     def start(self) -> None:
         """Follow from now on."""
@@ -126,7 +135,7 @@
                 self._answered(outcome)
 
         if self.revision is None:
-            self._cancel = lambda: None
+            self._cancel = _nothing
             self.store.list(self.kind, answered)
             return
         self._cancel = self.store.watch(
@@ -161,3 +170,7 @@
         # Told last: it may start this and other followers again.
         self.contact.succeeded()
         return pause
+
+
+def _nothing() -> None:
+    """Stand for a call that cannot be given up."""
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -1,7 +1,5 @@
 """The platform's objects, read into our types."""
 
-import attrs
-
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
 from vanilladrum.core import errors
@@ -20,7 +18,6 @@
 _BROKEN = (KeyError, TypeError, ValueError, errors.AddressError)
 
 
-@attrs.frozen
 class Stored:
     """An object of the store.
 
@@ -29,10 +26,13 @@
     :param deleted: whether it has gone.
     """
 
-    name: str
-    revision: int
-    content: object
-    deleted: bool = False
+    def __init__(
+        self, name: str, revision: int, content: object, deleted: bool = False
+    ) -> None:
+        self.name = name
+        self.revision = revision
+        self.content = content
+        self.deleted = deleted
 
 
 def stored(plain: dict, deleted: bool = False) -> Stored:
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -2,17 +2,13 @@
 
 import os
 
-import attrs
-
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 
 PATH_VARIABLE = "VANILLADRUM_NODE_FILE"
 DEFAULT_PATH = "/etc/vanilladrum/settings.conf"
-MS = 0.001
 
 
-@attrs.frozen
 class NodeSettings:
     """What a process learns about itself from the platform.
 
@@ -23,22 +19,30 @@
     :param seeds: endpoints of a few entry hosts; some may be stale.
     :param store: endpoint of the platform's store.
     :param grace: seconds between SIGTERM and SIGKILL.
-    :param reuse_after: seconds until a server's address may be another's.
     :param flow_lifetime: seconds that a flow may live.
-    :param first_start: whether the whole system starts for the first time.
     """
 
-    name: str
-    data_centre: str
-    flows: addresses.Address
-    readiness: addresses.Address
-    peer: addresses.Address
-    seeds: tuple[addresses.Address, ...]
-    store: addresses.Address
-    grace: float
-    reuse_after: float
-    flow_lifetime: float
-    first_start: bool = False
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        flows: addresses.Address,
+        readiness: addresses.Address,
+        peer: addresses.Address,
+        seeds: tuple[addresses.Address, ...],
+        store: addresses.Address,
+        grace: float,
+        flow_lifetime: float,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.flows = flows
+        self.readiness = readiness
+        self.peer = peer
+        self.seeds = seeds
+        self.store = store
+        self.grace = grace
+        self.flow_lifetime = flow_lifetime
 
 
 def path() -> str:
@@ -83,9 +87,7 @@
         ),
         store=reader.address("platform.address"),
         grace=reader.number("bounds.grace-s", 6.0),
-        reuse_after=reader.number("bounds.reuse-after-s", 2.0),
         flow_lifetime=reader.number("bounds.flow-ttl-s", 60.0),
-        first_start=reader.optional("bootstrap") == "true",
     )
 
 
@@ -98,12 +100,12 @@
     return pairs
 
 
-@attrs.frozen
 class _Reader:
     """Typed access to the pairs of one file."""
 
-    values: dict[str, str]
-    where: str
+    def __init__(self, values: dict[str, str], where: str) -> None:
+        self.values = values
+        self.where = where
 
     def optional(self, key: str) -> str:
         return self.values.get(key, "")
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 import json
 
-import attrs
 import httptools
 
 from vanilladrum.core import address as addresses
@@ -25,29 +24,32 @@
 _REFUSED = (429, 503)
 
 
-@attrs.frozen
 class Listing:
     """All objects of a kind.
 
     :param revision: of the store when the list was begun.
     """
 
-    objects: tuple[objects.Stored, ...]
-    revision: int
+    def __init__(
+        self, listed: tuple[objects.Stored, ...], revision: int
+    ) -> None:
+        self.objects = listed
+        self.revision = revision
 
 
-@attrs.frozen
 class Changes:
     """What has changed since a revision.
 
     :param revision: from which to watch on.
     """
 
-    objects: tuple[objects.Stored, ...]
-    revision: int
+    def __init__(
+        self, changed: tuple[objects.Stored, ...], revision: int
+    ) -> None:
+        self.objects = changed
+        self.revision = revision
 
 
-@attrs.frozen
 class Alive:
     """The store has answered."""
 
@@ -55,17 +57,16 @@
 Done = Callable[[object], None]
 
 
-@attrs.define(eq=False)
 class _Call:
     """One call on its way.
 
     :param done: told the plain answer or an error, once.
     """
 
-    text: str
-    done: Done
-    connection: "_Connection | None" = None
-    ended: bool = False
+    def __init__(self, done: Done) -> None:
+        self.done = done
+        self.connection: _Connection | None = None
+        self.ended = False
 
     def finish(self, outcome: object) -> None:
         if self.ended:
@@ -114,7 +115,6 @@
             call.finish(reason)
 
 
-@attrs.define(eq=False)
 class Store:
     """Calls the store.
 
@@ -124,11 +124,14 @@
     :param calls: how many calls were made, since each has a price.
     """
 
-    loop: loops.Loop
-    at: addresses.Address
-    timeout: float
-    calls: int = 0
-    _idle: list[_Connection] = attrs.field(factory=list)
+    def __init__(
+        self, loop: loops.Loop, at: addresses.Address, timeout: float
+    ) -> None:
+        self.loop = loop
+        self.at = at
+        self.timeout = timeout
+        self.calls = 0
+        self._idle: list[_Connection] = []
 
     def list(self, kind: str, done: Done) -> None:
         """Ask for all objects of a kind, page by page.
@@ -234,7 +237,7 @@
             call.done = lambda _: None
             give_up("cancelled")
 
-        call = _Call(text, finished)
+        call = _Call(finished)
         connection = self._take()
         call.connection = connection
         request = f"{text} HTTP/1.1\r\nHost: {self.at}\r\n\r\n"
--- a/vanilladrum/wire/datagrams.py
+++ b/vanilladrum/wire/datagrams.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 import socket
 
-import attrs
-
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.wire import loop as loops
@@ -17,7 +15,6 @@
 BUFFER_BYTES = 256 * 1024
 
 
-@attrs.define(eq=False)
 class Datagrams:
     """A bound datagram socket.
 
@@ -25,10 +22,16 @@
     :param unsent: datagrams that the system would not take.
     """
 
-    loop: loops.Loop
-    sock: socket.socket
-    on_datagram: Callable[[bytes, tuple[str, int]], None]
-    unsent: int = 0
+    def __init__(
+        self,
+        loop: loops.Loop,
+        sock: socket.socket,
+        on_datagram: Callable[[bytes, tuple[str, int]], None],
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.on_datagram = on_datagram
+        self.unsent = 0
 
     @classmethod
     def bind(
--- a/vanilladrum/wire/httpd.py
+++ b/vanilladrum/wire/httpd.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import socket
 
-import attrs
 import httptools
 
 from vanilladrum.core import address as addresses
@@ -19,15 +18,15 @@
 }
 
 
-@attrs.frozen
 class Answer:
     """What is sent back.
 
     :param status: one of 200, 400, 404 and 503.
     """
 
-    status: int
-    body: bytes = b""
+    def __init__(self, status: int, body: bytes = b"") -> None:
+        self.status = status
+        self.body = body
 
     def encode(self) -> bytes:
         """Return the response."""
@@ -78,17 +77,17 @@
         self.endpoint.connections.pop(self, None)
 
 
-@attrs.define(eq=False)
 class HttpEndpoint:
     """Answers requests for known paths.
 
     :param handlers: what answers, by path.
     """
 
-    loop: loops.Loop
-    handlers: Handlers
-    connections: dict[_Connection, None] = attrs.field(factory=dict)
-    _listener: streams.Listener | None = None
+    def __init__(self, loop: loops.Loop, handlers: Handlers) -> None:
+        self.loop = loop
+        self.handlers = handlers
+        self.connections: dict[_Connection, None] = {}
+        self._listener: streams.Listener | None = None
 
     def listen(self, at: addresses.Address) -> None:
         """Listen.
--- a/vanilladrum/wire/loop.py
+++ b/vanilladrum/wire/loop.py
@@ -8,9 +8,7 @@
 import select
 import time
 
-import attrs
-
-from vanilladrum.core import timers as timer_queue
+from vanilladrum.core import timers
 
 # Upper bound of one wait, in seconds: signals are noticed between waits.
 LONGEST_WAIT = 1.0
@@ -19,7 +17,6 @@
 Handler = Callable[[int], None]
 
 
-@attrs.define(eq=False)
 class Loop:
     """Runs handlers of descriptors and timers on one thread.
 
@@ -28,10 +25,11 @@
     >>> loop.run()
     """
 
-    timers: timer_queue.Timers = attrs.field(factory=timer_queue.Timers)
-    _poll: select.epoll = attrs.field(factory=select.epoll)
-    _handlers: dict[int, Handler] = attrs.field(factory=dict)
-    _running: bool = False
+    def __init__(self) -> None:
+        self.timers = timers.Timers()
+        self._poll = select.epoll()
+        self._handlers: dict[int, Handler] = {}
+        self._running = False
 
     @staticmethod
     def now() -> float:
--- a/vanilladrum/wire/stream.py
+++ b/vanilladrum/wire/stream.py
@@ -4,8 +4,6 @@
 import errno
 import socket
 
-import attrs
-
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.wire import loop as loops
@@ -30,7 +28,6 @@
 )
 
 
-@attrs.define(eq=False)
 class Stream:
     """A TCP connection that never blocks.
 
@@ -39,13 +36,21 @@
         for another cause than :meth:`close`.
     """
 
-    loop: loops.Loop
-    sock: socket.socket
-    on_data: Callable[[bytes], None]
-    on_end: Callable[[str], None]
-    connected: bool = True
-    ended: bool = False
-    _unsent: bytearray = attrs.field(factory=bytearray)
+    def __init__(
+        self,
+        loop: loops.Loop,
+        sock: socket.socket,
+        on_data: Callable[[bytes], None],
+        on_end: Callable[[str], None],
+        connected: bool = True,
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.on_data = on_data
+        self.on_end = on_end
+        self.connected = connected
+        self.ended = False
+        self._unsent = bytearray()
 
     @classmethod
     def connect(
@@ -139,16 +144,21 @@
         self.on_end(reason)
 
 
-@attrs.define(eq=False)
 class Listener:
     """A TCP endpoint.
 
     :param on_accept: takes the socket of each new connection.
     """
 
-    loop: loops.Loop
-    sock: socket.socket
-    on_accept: Callable[[socket.socket], None]
+    def __init__(
+        self,
+        loop: loops.Loop,
+        sock: socket.socket,
+        on_accept: Callable[[socket.socket], None],
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.on_accept = on_accept
 
     @classmethod
     def bind(
