Doubt servers and data centres by silent attempts; check doubted ones

Change: evidence a server and a data centre, active checks of doubted servers over HTTP, pace of servers from the length of flows, no blame after an own pause; digests name doubted servers and tell of unheard data centres.

--- a/vanilladrum/core/balance.py
+++ b/vanilladrum/core/balance.py
@@ -5,6 +5,7 @@
 
 from vanilladrum.core import backend as backends
 from vanilladrum.core import evidence as evidences
+from vanilladrum.core import pace as paces
 from vanilladrum.core import policy as policies
 
 # Load that a server in another data centre has to be below a local one, as a
@@ -40,11 +41,13 @@
         self,
         data_centre: str,
         evidence: evidences.Evidence,
+        pace: paces.Pace,
         open_flows: Callable[[int], float],
         rng: random.Random,
     ) -> None:
         self.data_centre = data_centre
         self.evidence = evidence
+        self.pace = pace
         self.open_flows = open_flows
         self.rng = rng
         self.policy = policies.find(POLICY)
@@ -64,7 +67,7 @@
         trusted = self._trusted(others or servers, now)
         if not trusted:
             return None
-        candidates = [self._candidate(each) for each in trusted]
+        candidates = [self._candidate(each, now) for each in trusted]
         return self.policy(candidates, self.rng).server
 
     def _trusted(
@@ -79,8 +82,8 @@
             if standing == best
         ]
 
-    def _candidate(self, server: backends.Backend) -> Candidate:
-        slots = float(server.slots)
+    def _candidate(self, server: backends.Backend, now: float) -> Candidate:
+        slots = server.slots * self.pace.of(server, now)
         if server.warm_up > 0:
             slots *= WARM_UP_SHARE
         # The flow to come is counted, so that speed decides among idle ones.
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -2,15 +2,25 @@
 
 import collections
 import random
+import zlib
 
 from vanilladrum.core import backend as backends
 from vanilladrum.core import balance
 from vanilladrum.core import evidence as evidences
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flowtable
-from vanilladrum.core import neighbours as neighbours_module
+from vanilladrum.core import neighbours as digests
+from vanilladrum.core import pace as paces
 from vanilladrum.core import routes
 
+# Between two looks at what is due; longer means that the process stood still.
+PAUSE_SECONDS = 0.1
+
+
+def number_of(data_centre: str) -> int:
+    """Return the number that stands for a data centre in digests."""
+    return zlib.crc32(data_centre.encode())
+
 
 class FlowHost:
     """Decides on packets; knows no sockets and no clock.
@@ -24,7 +34,7 @@
     def __init__(
         self,
         data_centre: str,
-        neighbours: neighbours_module.Neighbours,
+        neighbours: digests.Neighbours,
         rng: random.Random,
         keep: float = 60.0,
     ) -> None:
@@ -35,9 +45,11 @@
         self.directory = backends.Directory(keep)
         self.table = flowtable.FlowTable()
         self.evidence = evidences.Evidence()
+        self.pace = paces.Pace()
         self.balancer = balance.Balancer(
-            data_centre, self.evidence, self.open_flows, rng
+            data_centre, self.evidence, self.pace, self.open_flows, rng
         )
+        self.last_tick = float("-inf")
         self.counters: collections.Counter = collections.Counter()
 
     def open_flows(self, tag: int) -> float:
@@ -68,6 +80,11 @@
         :returns: the servers that are ejected by it.
         """
         ejected = []
+        if now - self.last_tick > PAUSE_SECONDS:
+            # Nobody is to blame for a pause of this process.
+            self.table.excuse()
+        self.last_tick = now
+        self._look_for_cuts(now)
         limit = self.evidence.round_trip.limit()
         for _, server, sent in self.table.overdue(now - limit):
             self.counters["silent_attempts"] += 1
@@ -79,6 +96,31 @@
         self.directory.expire(now)
         return ejected
 
+    def due_checks(self, now: float) -> list[backends.Backend]:
+        """Return the doubted servers that are to be checked now."""
+        servers = list(self.directory.servers.values())
+        return self.evidence.due_checks(servers, now)
+
+    def make_digest(self, leaving: bool, now: float) -> digests.Digest:
+        """Return what the other entry hosts are told."""
+        return self.neighbours.make(
+            self.configuration.generation,
+            leaving,
+            dict(self.table.open),
+            self.evidence.doubted_tags(now),
+        )
+
+    def _look_for_cuts(self, now: float) -> None:
+        centres = {
+            server.data_centre for server in self.directory.servers.values()
+        }
+        self.evidence.unheard = {
+            centre
+            for centre in centres
+            if centre != self.data_centre
+            and self.neighbours.unheard(number_of(centre), now)
+        }
+
     def _without_route(self, packet: flows.Packet) -> flows.Decision:
         if packet.opens:
             return flows.Reset("no_route")
@@ -157,8 +199,11 @@
             # of this one.
             flow = self.table.begin(packet.key, server, now, route.timeout)
             flow.answered = True
-        if packet.closes:
+            flow.adopted = True
+        if packet.closes and not flow.ended:
             self.table.end(flow)
+            if flow.server is server and not flow.adopted:
+                self.pace.ended(server, now - flow.sent, now)
         if flow.answered:
             return
         flow.answered = True
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -19,10 +19,19 @@
     :param opened: when its first packet came, monotonic seconds.
     :param sent: when that packet was last sent to a server.
     :param answered: whether the caller has heard from the server.
+    :param adopted: whether its first packet went through another host.
     :param ended: whether the caller has closed it or given up.
     """
 
-    __slots__ = ("key", "server", "opened", "sent", "answered", "ended")
+    __slots__ = (
+        "key",
+        "server",
+        "opened",
+        "sent",
+        "answered",
+        "adopted",
+        "ended",
+    )
 
     def __init__(
         self, key: bytes, server: backends.Backend, opened: float
@@ -32,6 +41,7 @@
         self.opened = opened
         self.sent = opened
         self.answered = False
+        self.adopted = False
         self.ended = False
 
 
@@ -109,6 +119,10 @@
                 found.append((flow, server, sent))
         return found
 
+    def excuse(self) -> None:
+        """Wait for no answer to the first packets sent so far."""
+        self._waiting.clear()
+
     def expire(self, now: float) -> None:
         """Forget the flows whose callers have given up."""
         for ends in self._ends.values():
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -11,6 +11,9 @@
 
 # Age in seconds up to which a digest counts; a few sending periods.
 FRESH_SECONDS = 0.5
+# A data centre none of whose hosts was heard for so long may be cut off;
+# three periods of digests while nothing changes.
+QUIET_SECONDS = 0.3
 # A silent host is asked so often, in seconds, and forgotten after so long.
 RETRY_SECONDS = 1.0
 FORGET_SECONDS = 60.0
@@ -100,6 +103,8 @@
         self.rng = rng
         self.hosts: dict[addresses.Address, Neighbour] = {}
         self.open: collections.Counter = collections.Counter()
+        # When any host of a data centre was last heard.
+        self.heard: dict[int, float] = {}
         self.start = rng.getrandbits(32)
         self.sequence = 0
         for seed in seeds:
@@ -129,6 +134,7 @@
         self._uncount(neighbour)
         neighbour.digest = digest
         neighbour.heard = now
+        self.heard[digest.data_centre] = now
         self.open.update(digest.open)
         neighbour.counted = True
         return returned
@@ -194,6 +200,11 @@
             count += tag in digest.doubted
         return count
 
+    def unheard(self, data_centre: int, now: float) -> bool:
+        """Return whether the hosts of a data centre have fallen silent."""
+        heard = self.heard.get(data_centre)
+        return heard is not None and now - heard > QUIET_SECONDS
+
     def _uncount(self, neighbour: Neighbour) -> None:
         if not neighbour.counted:
             return
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -53,15 +53,21 @@
 
     :param generation: grows with each accepted change.
     :param routes: by packed address, 6 bytes.
+    :param health_paths: where a server of a service tells its health.
     :param idle_timeout: seconds after which a silent flow may be forgotten.
     """
 
     def __init__(
-        self, generation: int, routes: dict[bytes, Route], idle_timeout: float
+        self,
+        generation: int,
+        routes: dict[bytes, Route],
+        idle_timeout: float,
+        health_paths: dict[str, str] | None = None,
     ) -> None:
         self.generation = generation
         self.routes = routes
         self.idle_timeout = idle_timeout
+        self.health_paths = health_paths or {}
 
 
 NO_CONFIGURATION = FlowConfiguration(0, {}, 0.0)
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -8,7 +8,6 @@
 import random
 import signal
 import sys
-import zlib
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
@@ -16,6 +15,7 @@
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flowhost
 from vanilladrum.core import neighbours
+from vanilladrum.daemons import checks
 from vanilladrum.daemons import lines
 from vanilladrum.daemons import store_follower
 from vanilladrum.platform import objects
@@ -34,7 +34,7 @@
 TICK_SECONDS = 0.02
 # Seconds between two digests while something changes, and at the most.
 DIGEST_SECONDS = 0.04
-IDLE_DIGEST_SECONDS = 0.2
+IDLE_DIGEST_SECONDS = 0.1
 # Seconds for a connection to the store or an answer that is due at once.
 STORE_TIMEOUT = 0.5
 # Routers look twice a second and stop sending after two misses.
@@ -60,7 +60,7 @@
         rng = random.Random()
         self.neighbours = neighbours.Neighbours(
             settings.peer,
-            zlib.crc32(settings.data_centre.encode()),
+            flowhost.number_of(settings.data_centre),
             rng,
             settings.seeds,
         )
@@ -69,6 +69,7 @@
         )
         self.digest_sent = float("-inf")
         self.digest_open: dict[int, int] = {}
+        self.checks = checks.Checks(self.loop, self.core, self.log)
         self.has_servers = False
         self.asked_to_stop = False
         self.asked_to_reload = False
@@ -146,6 +147,8 @@
         now = self.loop.now()
         for server in self.core.tick(now):
             self._log_ejection(server)
+        for server in self.core.due_checks(now):
+            self.checks.start(server)
         self._send_digest(now)
         if self.asked_to_reload:
             self.asked_to_reload = False
@@ -200,12 +203,8 @@
             return
         self.digest_sent = now
         self.digest_open = dict(self.core.table.open)
-        digest = self.neighbours.make(
-            self.core.configuration.generation,
-            self.stopping_since is not None,
-            self.digest_open,
-            frozenset(),
-        )
+        leaving = self.stopping_since is not None
+        digest = self.core.make_digest(leaving, now)
         datagram = digests.encode(digest)
         for host in self.neighbours.receivers(now):
             self.peers.send(datagram, host)
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -93,6 +93,10 @@
             generation=_integer(plain["version"]),
             routes=found,
             idle_timeout=plain["limits"]["idle-timeout-ms"] * MS,
+            health_paths={
+                _text(each["name"]): _text(each["health-check-path"])
+                for each in plain["services"]
+            },
         )
     except (*_BROKEN, AttributeError) as error:
         raise errors.PlatformError(
