Read packets once it is known where they go; use lapsed entries on

Ruled out: the choice of whom to follow. Change: the packet socket is bound before the rest loads and read once configuration and servers are known; without a configuration nothing is refused; an entry that goes is used on for 0.3 s, and until the store has settled, and ends at once when its address is another's. Open flows stay with the services that earlier configurations of their route allowed. Found by hypothesis: a server that starts again under its id and another address got copies of first packets at the old one.

--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -64,34 +64,63 @@
         # Servers whose entries have gone, each with the time until which
         # packets of its open flows may still come.
         self.departed: dict[str, tuple[Backend, float]] = {}
+        # Servers whose entries have gone, perhaps only for a moment, each
+        # with the time until which it is used on.
+        self.lapsing: dict[str, float] = {}
         self.by_tag: dict[int, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
 
     def put(self, server: Backend) -> None:
         """Take in a server's entry or its change."""
         known = self.servers.get(server.name)
+        self._come_back(server)
+        if known is not None and vars(known) == vars(server):
+            return
         self.servers[server.name] = server
+        self._index()
+
+    def _come_back(self, server: Backend) -> None:
         self.departed.pop(server.name, None)
-        if known is None or _changed(known, server):
-            self._index()
+        self.lapsing.pop(server.name, None)
+        self._end_lapse_at(server)
+
+    def lapse(self, name: str, until: float) -> None:
+        """Use a server on for a while although its entry has gone."""
+        if name in self.servers:
+            self.lapsing.setdefault(name, until)
+
+    def settle(self, now: float) -> list[str]:
+        """Stop using the servers whose entries did not come back.
+
+        :returns: their names.
+        """
+        gone = [name for name, until in self.lapsing.items() if until <= now]
+        for name in gone:
+            self.remove(name, now)
+        return gone
 
     def remove(self, name: str, now: float) -> None:
         """Stop using a server whose entry has gone."""
+        self.lapsing.pop(name, None)
         server = self.servers.pop(name, None)
         if server is None:
             return
         self.departed[name] = (server, now + self.keep)
         self._index()
 
-    def expire(self, now: float) -> None:
-        """Forget departed servers whose flows have ended."""
+    def expire(self, now: float) -> list[Backend]:
+        """Forget departed servers whose flows have ended.
+
+        :returns: these servers.
+        """
         old = [
-            name for name, (_, until) in self.departed.items() if until <= now
+            server for server, until in self.departed.values() if until <= now
         ]
-        for name in old:
-            del self.departed[name]
+        for server in old:
+            del self.departed[server.name]
         if old:
             self._index()
+        return old
 
     def find(self, tag: int) -> Backend | None:
         """Return the server that a tag stands for, or None."""
@@ -101,6 +130,12 @@
         """Return the servers of a service that take new flows."""
         return self.by_service.get(service, [])
 
+    def _end_lapse_at(self, server: Backend) -> None:
+        """A server's address that another one has tells that it ended."""
+        for name in list(self.lapsing):
+            if self.servers[name].address == server.address:
+                self.lapsing[name] = float("-inf")
+
     def _index(self) -> None:
         self.by_tag = {}
         self.by_service = {}
@@ -115,7 +150,3 @@
                 continue
             if server.state == serverstate.ServerState.ACTIVE:
                 self.by_service.setdefault(server.service, []).append(server)
-
-
-def _changed(known: Backend, server: Backend) -> bool:
-    return vars(known) != vars(server)
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -12,9 +12,14 @@
 from vanilladrum.core import neighbours as digests
 from vanilladrum.core import pace as paces
 from vanilladrum.core import routes
+from vanilladrum.core import serverstate
 
 # Between two looks at what is due; longer means that the process stood still.
 PAUSE_SECONDS = 0.1
+# A server whose entry has gone is used on for so long, in seconds: by then
+# this host has heard whether the store was away, and its servers answer or
+# are doubted.
+LAPSE_SECONDS = 0.3
 
 
 def number_of(data_centre: str) -> int:
@@ -42,6 +47,9 @@
         self.neighbours = neighbours
         self.rng = rng
         self.configuration = routes.NO_CONFIGURATION
+        # Services at which open flows of an address may be: those of its
+        # route now and of its earlier versions, as long as there is one.
+        self.allowed: dict[bytes, frozenset[str]] = {}
         self.directory = backends.Directory(keep)
         self.table = flowtable.FlowTable()
         self.evidence = evidences.Evidence()
@@ -50,6 +58,8 @@
             data_centre, self.evidence, self.pace, self.open_flows, rng
         )
         self.last_tick = float("-inf")
+        # Whether entries that have gone may come back: the store was away.
+        self.unsettled = False
         self.counters: collections.Counter = collections.Counter()
 
     def open_flows(self, tag: int) -> float:
@@ -63,7 +73,13 @@
         """
         before = self.configuration
         self.configuration = routes.newer(before, offered)
-        return self.configuration is not before
+        if self.configuration is before:
+            return False
+        self.allowed = {
+            address: self.allowed.get(address, frozenset()) | route.services
+            for address, route in offered.routes.items()
+        }
+        return True
 
     def receive(self, packet: flows.Packet, now: float) -> flows.Decision:
         """Decide on one packet."""
@@ -93,9 +109,27 @@
                 ejected.append(server)
         self.table.expire(now)
         self.neighbours.tick(now)
-        self.directory.expire(now)
+        if not self.unsettled:
+            for _ in self.directory.settle(now):
+                self.counters["servers_gone"] += 1
+        for server in self.directory.expire(now):
+            self.evidence.forget(server)
+            self.pace.forget(server)
         return ejected
 
+    def lose_server(self, name: str, now: float) -> None:
+        """Take in that the entry of a server has gone.
+
+        A server that was leaving is gone; another one may be back soon.
+        """
+        server = self.directory.servers.get(name)
+        if server is None:
+            return
+        if server.state is serverstate.ServerState.LEAVING:
+            self.directory.remove(name, now)
+            return
+        self.directory.lapse(name, now + LAPSE_SECONDS)
+
     def due_checks(self, now: float) -> list[backends.Backend]:
         """Return the doubted servers that are to be checked now."""
         servers = list(self.directory.servers.values())
@@ -115,6 +149,7 @@
             leaving,
             watching,
             turned_away,
+            self.unsettled,
             revision,
             dict(self.table.open),
             self.evidence.doubted_tags(now),
@@ -132,6 +167,8 @@
         }
 
     def _without_route(self, packet: flows.Packet) -> flows.Decision:
+        if not self.configuration.generation:
+            return flows.Ignore("no_configuration")
         if packet.opens:
             return flows.Reset("no_route")
         return flows.Ignore("no_route")
@@ -142,9 +179,10 @@
         flow = self.table.find(packet.key)
         if flow is None or flow.ended:
             return self._begin(packet, route, now)
-        if self._keeps(flow, packet, route):
-            self.table.move(flow, flow.server, now)
-            return flows.Forward(flow.server)
+        same = self._same_server(flow, packet, route)
+        if same is not None:
+            self.table.move(flow, same, now)
+            return flows.Forward(same)
         servers = self.directory.active(flow.server.service)
         server = self.balancer.choose(servers, now, avoid=flow.server)
         if server is None:
@@ -163,26 +201,24 @@
         self.table.begin(packet.key, server, now, route.timeout)
         return flows.Forward(server)
 
-    def _keeps(
+    def _same_server(
         self,
         flow: flowtable.OpenFlow,
         packet: flows.Packet,
         route: routes.Route,
-    ) -> bool:
-        """Return whether a copy of a first packet follows the first one.
+    ) -> backends.Backend | None:
+        """Return the server that a first packet's copy has to follow it to.
 
         It must unless the server is silent: two servers that answer one
         caller would each put their tag into the flow.
         """
         server = self.directory.find(flow.server.tag)
         if server not in self.directory.active(flow.server.service):
-            return False
+            return None
         if not route.allows(flow.server.service):
-            return False
-        if not packet.copies:
-            return True
-        record = self.evidence.record(flow.server)
-        return record.answered >= flow.sent
+            return None
+        answers = self.evidence.record(server).answered >= flow.sent
+        return server if answers or not packet.copies else None
 
     def _continue(
         self, packet: flows.Packet, route: routes.Route, now: float
@@ -190,7 +226,7 @@
         server = self.directory.find(packet.tag)
         if server is None:
             return flows.Ignore("unknown_tag")
-        if not route.allows(server.service):
+        if server.service not in self.allowed[packet.service]:
             return flows.Ignore("wrong_service")
         self._notice(packet, server, route, now)
         return flows.Forward(server)
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -36,6 +36,8 @@
     :param leaving: whether the sender is about to stop as planned.
     :param watching: whether the sender hears of changes from the store.
     :param turned_away: whether the store does not answer the sender.
+    :param unsettled: whether entries of servers that have gone may come
+        back, since the store was away.
     :param revision: of the store up to which it knows the servers.
     :param open: open flows by server's tag, servers with none left out.
     :param doubted: tags of the servers that stay silent at the sender.
@@ -50,6 +52,7 @@
         "leaving",
         "watching",
         "turned_away",
+        "unsettled",
         "revision",
         "open",
         "doubted",
@@ -65,6 +68,7 @@
         leaving: bool,
         watching: bool,
         turned_away: bool,
+        unsettled: bool,
         revision: int,
         open_flows: dict[int, int],
         doubted: frozenset[int],
@@ -77,6 +81,7 @@
         self.leaving = leaving
         self.watching = watching
         self.turned_away = turned_away
+        self.unsettled = unsettled
         self.revision = revision
         self.open = open_flows
         self.doubted = doubted
@@ -172,6 +177,7 @@
         leaving: bool,
         watching: bool,
         turned_away: bool,
+        unsettled: bool,
         revision: int,
         open_flows: dict[int, int],
         doubted: frozenset[int],
@@ -188,6 +194,7 @@
             leaving,
             watching,
             turned_away,
+            unsettled,
             revision,
             open_flows,
             doubted,
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -29,9 +29,14 @@
         self.shares = shares
         self.timeout = timeout
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services to which new flows go."""
+        return frozenset(share.service for share in self.shares)
+
     def allows(self, service: str) -> bool:
-        """Return whether a flow may be at a service."""
-        return any(share.service == service for share in self.shares)
+        """Return whether a new flow may go to a service."""
+        return service in self.services
 
     def choose(self, rng: random.Random) -> str:
         """Return the service of a new flow.
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -7,7 +7,7 @@
 import gc
 import random
 import signal
-import sys
+import socket
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
@@ -29,7 +29,6 @@
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
 
-EXIT_SETTINGS = 2
 # Seconds between two looks at what is due; a fraction of the shortest wait
 # for an answer.
 TICK_SECONDS = 0.02
@@ -56,10 +55,14 @@
     """One entry host, from its start until SIGTERM.
 
     :param settings: what the platform told this process.
+    :param bound: socket at which packets wait until they can be served.
     """
 
     def __init__(
-        self, settings: node_settings.NodeSettings, log: lines.EventLog
+        self,
+        settings: node_settings.NodeSettings,
+        log: lines.EventLog,
+        bound: socket.socket,
     ) -> None:
         self.settings = settings
         self.log = log
@@ -85,7 +88,7 @@
         self.asked_to_reload = False
         self.stopping_since: float | None = None
         self.last_packet = 0.0
-        self.endpoint: datagrams.Datagrams | None = None
+        self.endpoint = datagrams.Datagrams(self.loop, bound, self._received)
         self.peers: datagrams.Datagrams | None = None
         self.readiness: httpd.HttpEndpoint | None = None
 
@@ -103,9 +106,6 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._stop_asked)
         signal.signal(signal.SIGHUP, self._reload_asked)
-        self.endpoint = datagrams.Datagrams.bind(
-            self.loop, self.settings.flows, self._received
-        )
         self.peers = datagrams.Datagrams.bind(
             self.loop, self.settings.peer, self._digest_received
         )
@@ -162,6 +162,15 @@
         self.loop.every(FOLLOW_SECONDS, self.sources.tick)
         self.loop.every(FOLLOW_SECONDS, self.mirror.tick)
 
+    def _open_for_packets(self) -> None:
+        """Read packets as soon as it is known where they go.
+
+        Until then they wait in the socket: an answer without knowing the
+        configuration would be wrong.
+        """
+        if self.core.configuration.generation and self.has_servers:
+            self.endpoint.open()
+
     # Signals
 
     def _stop_asked(self, *_: object) -> None:
@@ -172,6 +181,7 @@
 
     def _tick(self) -> None:
         now = self.loop.now()
+        self.core.unsettled = self.sources.unsettled
         for server in self.core.tick(now):
             self._log_ejection(server)
         for server in self.core.due_checks(now):
@@ -326,25 +336,27 @@
             routes=len(offered.routes),
             revision=changed.revision,
         )
+        self._open_for_packets()
 
     def _servers_listed(self, listed: tuple[objects.Stored, ...]) -> None:
         names = {each.name for each in listed}
         for name in list(self.core.directory.servers):
             if name not in names:
-                self._remove_server(name)
+                self._lose_server(name)
         for each in listed:
             self._server_changed(each)
         self.has_servers = True
+        self._open_for_packets()
 
     def _server_changed(self, changed: objects.Stored) -> None:
         if changed.deleted:
-            self._remove_server(changed.name)
+            self._lose_server(changed.name)
             return
         try:
             server = objects.server(changed)
         except errors.PlatformError as error:
             self.log.event("server refused", reason=str(error))
-            self._remove_server(changed.name)
+            self._lose_server(changed.name)
             return
         known = self.core.directory.servers.get(server.name)
         self.core.directory.put(server)
@@ -357,24 +369,18 @@
                 revision=changed.revision,
             )
 
-    def _remove_server(self, name: str) -> None:
-        self.core.directory.remove(name, self.loop.now())
-        self.log.event("server gone", server=name)
-
+    def _lose_server(self, name: str) -> None:
+        self.core.lose_server(name, self.loop.now())
+        self.log.event(
+            "server entry gone", server=name, unsettled=self.core.unsettled
+        )
 
-def main() -> None:
-    """Run an entry host; exit 2 on refused settings."""
-    log = lines.open_log()
-    try:
-        settings = node_settings.read(node_settings.path())
-        log.context["host"] = settings.name
-        gc.freeze()
-        FlowHostDaemon(settings, log).run()
-    except errors.VanilladrumError as error:
-        log.event("refused to start", reason=str(error))
-        log.flush()
-        sys.exit(EXIT_SETTINGS)
 
+def run(settings: node_settings.NodeSettings, bound: socket.socket) -> None:
+    """Run an entry host.
 
-if __name__ == "__main__":
-    main()
+    :raises SettingsError: when an endpoint cannot be bound.
+    """
+    log = lines.open_log(host=settings.name)
+    gc.freeze()
+    FlowHostDaemon(settings, log, bound).run()
--- a/vanilladrum/daemons/sockets.py
+++ b/vanilladrum/daemons/sockets.py
@@ -2,14 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-import socket
 
 from vanilladrum.core import address as addresses
-from vanilladrum.core import errors
+from vanilladrum.wire import udp
 
-# Packets that waited longer than a fraction of a second are of no more use:
-# their callers have repeated them.
-BUFFER_BYTES = 256 * 1024
 Receiver = Callable[[bytes, addresses.Address], None]
 
 
@@ -58,18 +54,7 @@
 
     :raises SettingsError: when the address cannot be bound.
     """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_DGRAM)
-    bound.setblocking(False)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    try:
-        bound.bind((address.host, address.port))
-    except OSError as error:
-        bound.close()
-        raise errors.SettingsError(
-            f"UDP {address} cannot be bound ({error.strerror}); end what "
-            "holds it or choose another port"
-        ) from error
+    bound = udp.bind(address)
     loop = asyncio.get_running_loop()
     _, endpoint = await loop.create_datagram_endpoint(
         lambda: Endpoint(receive), sock=bound
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -156,6 +156,14 @@
         ready = all(each.revision is not None for each in self.followers)
         return self.following is None and not self.contact.away and ready
 
+    @property
+    def unsettled(self) -> bool:
+        """Return whether lapsed entries may still come back."""
+        neighbour = self.known.hosts.get(self.following)
+        if neighbour is None or neighbour.digest is None:
+            return self.contact.returned_lately()
+        return neighbour.digest.unsettled
+
     def tick(self) -> None:
         """Follow somebody else when that has become better."""
         now = self.loop.now()
--- a/vanilladrum/wire/datagrams.py
+++ b/vanilladrum/wire/datagrams.py
@@ -4,15 +4,12 @@
 import socket
 
 from vanilladrum.core import address as addresses
-from vanilladrum.core import errors
 from vanilladrum.wire import loop as loops
+from vanilladrum.wire import udp
 
 MAX_DATAGRAM = 65535
 # Datagrams read before other work gets its turn.
 READ_AT_ONCE = 64
-# Packets that waited longer than a fraction of a second are of no more use:
-# their callers have repeated them.
-BUFFER_BYTES = 256 * 1024
 
 
 class Datagrams:
@@ -44,21 +41,15 @@
 
         :raises SettingsError: when the address cannot be bound.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        try:
-            sock.bind((at.host, at.port))
-        except OSError as error:
-            sock.close()
-            raise errors.SettingsError(
-                f"UDP {at} cannot be bound ({error.strerror}); end what "
-                "holds it or choose another port"
-            ) from error
+        sock = udp.bind(at)
         found = cls(loop, sock, on_datagram)
-        loop.watch(sock.fileno(), loops.READ, found._ready)
+        found.open()
         return found
 
+    def open(self) -> None:
+        """Read datagrams from now on."""
+        self.loop.watch(self.sock.fileno(), loops.READ, self._ready)
+
     def send(self, data: bytes, to: addresses.Address) -> None:
         """Send a datagram, or count it when the system refuses it."""
         try:
--- a/vanilladrum/wire/digests.py
+++ b/vanilladrum/wire/digests.py
@@ -15,6 +15,7 @@
 LEAVING = 1
 WATCHING = 2
 TURNED_AWAY = 4
+UNSETTLED = 8
 MAX_OPEN = 65535
 # All in one datagram of an ordinary link, 1,400 bytes.
 MAX_SERVERS = 180
@@ -59,6 +60,7 @@
         LEAVING * digest.leaving
         | WATCHING * digest.watching
         | TURNED_AWAY * digest.turned_away
+        | UNSETTLED * digest.unsettled
     )
 
 
@@ -115,6 +117,7 @@
         bool(flags & LEAVING),
         bool(flags & WATCHING),
         bool(flags & TURNED_AWAY),
+        bool(flags & UNSETTLED),
         revision,
         open_flows,
         frozenset(doubted),
