Scale digests with the size of the fleet; tick only when something is due

Change: a cadence for small fleets and one for large ones (4 hosts of the own data centre in turn and one other, each 0.1 s), ticks at what is due, newcomers follow whoever knows the servers for 3 s before they may watch.

--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -14,8 +14,10 @@
 from vanilladrum.core import routes
 from vanilladrum.core import serverstate
 
-# Between two looks at what is due; longer means that the process stood still.
-PAUSE_SECONDS = 0.1
+# Longest time between two looks at what is due, in seconds.
+LONGEST_TICK = 0.1
+# A longer time between two looks means that the process stood still.
+PAUSE_SECONDS = 0.2
 # A server whose entry has gone is used on for so long, in seconds: by then
 # this host has heard whether the store was away, and its servers answer or
 # are doubted.
@@ -117,6 +119,14 @@
             self.pace.forget(server)
         return ejected
 
+    def next_due(self, now: float) -> float:
+        """Return when :meth:`tick` has something to look at, at the latest."""
+        oldest = self.table.oldest_unanswered()
+        if oldest is None:
+            return now + LONGEST_TICK
+        due = oldest + self.evidence.round_trip.limit()
+        return min(due, now + LONGEST_TICK)
+
     def lose_server(self, name: str, now: float) -> None:
         """Take in that the entry of a server has gone.
 
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -104,6 +104,15 @@
             flow.ended = True
             self._release(flow.server)
 
+    def oldest_unanswered(self) -> float | None:
+        """Return when the oldest first packet was sent that still waits."""
+        while self._waiting:
+            sent, flow, _ = self._waiting[0]
+            if not flow.answered and not flow.ended:
+                return sent
+            self._waiting.popleft()
+        return None
+
     def overdue(
         self, sent_before: float
     ) -> list[tuple[OpenFlow, backends.Backend, float]]:
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -9,23 +9,53 @@
 
 from vanilladrum.core import address as addresses
 
-# Age in seconds up to which a digest counts; a few sending periods.
-FRESH_SECONDS = 0.5
-# A data centre none of whose hosts was heard for so long may be cut off;
-# three periods of digests while nothing changes.
-QUIET_SECONDS = 0.3
+# A fleet up to this size is one group whose hosts all hear each other.
+SMALL_FLEET = 12
 # A silent host is asked so often, in seconds, and forgotten after so long.
 RETRY_SECONDS = 1.0
 FORGET_SECONDS = 60.0
-# Hosts to which a digest goes at once: all of a small fleet; a large one
-# hears of each host from a changing part of it.
-FAN_OUT = 12
-# How many of these go to other data centres.
-FAR_FAN_OUT = 2
+# Silent hosts that are asked in one period.
+MAX_ASKED = 4
 # Other hosts named in a digest, so that all come to know each other.
 NAMED = 4
 
 
+class Cadence:
+    """How often digests are sent and how long they count, in seconds.
+
+    :param period: between two digests while something changes.
+    :param idle_period: between two digests at the most.
+    :param fan_out: hosts of the own data centre that get one digest.
+    :param far_fan_out: hosts of other data centres that get it too.
+    :param fresh: age up to which a digest counts, about three times what a
+        round through the data centre takes.
+    :param quiet: a data centre none of whose hosts was heard for so long may
+        be cut off.
+    """
+
+    def __init__(
+        self,
+        period: float,
+        idle_period: float,
+        fan_out: int,
+        far_fan_out: int,
+        fresh: float,
+        quiet: float,
+    ) -> None:
+        self.period = period
+        self.idle_period = idle_period
+        self.fan_out = fan_out
+        self.far_fan_out = far_fan_out
+        self.fresh = fresh
+        self.quiet = quiet
+
+
+# A small fleet hears of each flow within a fraction of its length. In a
+# large one each host sends 40 to 50 datagrams a second, whatever its size.
+SMALL = Cadence(0.04, 0.1, SMALL_FLEET, SMALL_FLEET, 0.5, 0.3)
+LARGE = Cadence(0.1, 0.2, 4, 1, 1.5, 1.5)
+
+
 class Digest:
     """What an entry host tells the others about the backend servers.
 
@@ -126,9 +156,15 @@
         self.heard: dict[int, float] = {}
         self.start = rng.getrandbits(32)
         self.sequence = 0
+        self._turn: list[addresses.Address] = []
         for seed in seeds:
             self.meet(seed, float("-inf"))
 
+    @property
+    def cadence(self) -> Cadence:
+        """Return how often digests are sent."""
+        return SMALL if len(self.hosts) <= SMALL_FLEET else LARGE
+
     def meet(self, host: addresses.Address, now: float) -> None:
         """Get to know a host by its address."""
         if host == self.me or host in self.hosts:
@@ -149,7 +185,7 @@
         neighbour = self.hosts.get(sender)
         if neighbour is None or _outdated(digest, neighbour.digest):
             return False
-        returned = now - neighbour.heard > FRESH_SECONDS
+        returned = now - neighbour.heard > self.cadence.fresh
         self._uncount(neighbour)
         neighbour.digest = digest
         neighbour.heard = now
@@ -162,7 +198,7 @@
         """Stop counting what is too old to be believed."""
         forgotten = []
         for host, neighbour in self.hosts.items():
-            if now - neighbour.heard <= FRESH_SECONDS:
+            if now - neighbour.heard <= self.cadence.fresh:
                 continue
             self._uncount(neighbour)
             last = max(neighbour.heard, neighbour.known_since)
@@ -206,40 +242,57 @@
         return [
             host
             for host, neighbour in self.hosts.items()
-            if now - neighbour.heard <= FRESH_SECONDS
+            if now - neighbour.heard <= self.cadence.fresh
         ]
 
     def receivers(self, now: float) -> list[addresses.Address]:
         """Return to whom the next digest goes."""
         silent = []
         for host, neighbour in self.hosts.items():
-            if now - neighbour.heard <= FRESH_SECONDS:
+            if now - neighbour.heard <= self.cadence.fresh:
                 continue
             if now - neighbour.asked >= RETRY_SECONDS:
                 neighbour.asked = now
                 silent.append(host)
-        fresh = self.fresh(now)
-        if len(fresh) > FAN_OUT:
-            fresh = self._own_first(fresh)
-        return fresh + silent[:FAN_OUT]
+        near, far = self._by_distance(self.fresh(now))
+        chosen = self._next_in_turn(near)
+        wanted = min(self.cadence.far_fan_out, len(far))
+        chosen.extend(self.rng.sample(far, wanted))
+        return chosen + silent[:MAX_ASKED]
+
+    def _by_distance(
+        self, hosts: list[addresses.Address]
+    ) -> tuple[list[addresses.Address], list[addresses.Address]]:
+        """Split hosts into those of the own data centre and others."""
+        near = []
+        far = []
+        for host in hosts:
+            centre = self.hosts[host].digest.data_centre
+            (near if centre == self.data_centre else far).append(host)
+        return near, far
 
-    def _own_first(
-        self, fresh: list[addresses.Address]
+    def _next_in_turn(
+        self, near: list[addresses.Address]
     ) -> list[addresses.Address]:
-        """Return mostly hosts of the own data centre, in a random order."""
-        self.rng.shuffle(fresh)
-        fresh.sort(
-            key=lambda host: (
-                self.hosts[host].digest.data_centre != self.data_centre
-            )
-        )
-        return fresh[: FAN_OUT - FAR_FAN_OUT] + fresh[-FAR_FAN_OUT:]
+        """Return a few hosts, each once in a round through all of them."""
+        if len(near) <= self.cadence.fan_out:
+            return near
+        present = set(near)
+        chosen: list[addresses.Address] = []
+        while len(chosen) < self.cadence.fan_out:
+            if not self._turn:
+                self._turn = near.copy()
+                self.rng.shuffle(self._turn)
+            host = self._turn.pop()
+            if host in present and host not in chosen:
+                chosen.append(host)
+        return chosen
 
     def doubting(self, tag: int, now: float) -> int:
         """Return how many hosts of this data centre doubt a server."""
         count = 0
         for neighbour in self.hosts.values():
-            if now - neighbour.heard > FRESH_SECONDS:
+            if now - neighbour.heard > self.cadence.fresh:
                 continue
             digest = neighbour.digest
             if digest.data_centre != self.data_centre:
@@ -250,7 +303,7 @@
     def unheard(self, data_centre: int, now: float) -> bool:
         """Return whether the hosts of a data centre have fallen silent."""
         heard = self.heard.get(data_centre)
-        return heard is not None and now - heard > QUIET_SECONDS
+        return heard is not None and now - heard > self.cadence.quiet
 
     def _uncount(self, neighbour: Neighbour) -> None:
         if not neighbour.counted:
--- a/vanilladrum/core/watchers.py
+++ b/vanilladrum/core/watchers.py
@@ -13,20 +13,20 @@
 
 # Two, so that the loss of one is bridged without a pause.
 WATCHERS = 2
-# A fleet up to this size is one group; the hosts of a larger one are grouped
-# by data centre, where each hears all others.
-SMALL_FLEET = 12
 
 
 def choose_source(
     neighbours: digests.Neighbours,
     store_answers: bool,
+    young: bool,
     avoided: set[addresses.Address],
     now: float,
 ) -> addresses.Address | None:
     """Return the host to follow, None to watch the store.
 
     :param store_answers: whether the store answers this host.
+    :param young: whether this host has just started and may not know yet
+        who else is there.
     :param avoided: hosts that have just failed to pass changes on.
     """
     group = _group(neighbours, now)
@@ -36,13 +36,17 @@
         for host in group
         if not neighbours.hosts[host].digest.turned_away and _rank(host) < mine
     ]
-    if store_answers and len(before) < WATCHERS:
+    if store_answers and not young and len(before) < WATCHERS:
         return None
+    usable = [host for host in group if host not in avoided]
     watching = [
-        host
-        for host in group
-        if neighbours.hosts[host].digest.watching and host not in avoided
+        host for host in usable if neighbours.hosts[host].digest.watching
     ]
+    if young and not watching:
+        # Whoever knows the servers can tell a newcomer.
+        watching = [
+            host for host in usable if neighbours.hosts[host].digest.revision
+        ]
     if not watching:
         return None
     watching.sort(key=_rank)
@@ -54,7 +58,7 @@
 ) -> list[addresses.Address]:
     """Return the fresh hosts that this one may follow."""
     fresh = neighbours.fresh(now)
-    if len(fresh) > SMALL_FLEET:
+    if len(neighbours.hosts) > digests.SMALL_FLEET:
         fresh = [
             host
             for host in fresh
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -29,20 +29,15 @@
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
 
-# Seconds between two looks at what is due; a fraction of the shortest wait
-# for an answer.
-TICK_SECONDS = 0.02
-# Seconds between two digests while something changes, and at the most.
-DIGEST_SECONDS = 0.04
-IDLE_DIGEST_SECONDS = 0.1
+# Shortest time between two looks at what is due, in seconds; a fraction of
+# the shortest wait for an answer.
+TICK_SECONDS = 0.01
 # A starting host waits so long, in seconds, for another one that it may
 # follow before it asks the store.
 MEET_SECONDS = 0.03
-# Changes of servers are gathered for so long, in seconds: a tenth of the time
+# Changes of servers are gathered for so long, in seconds: a sixth of the time
 # in which a leaving server may still be sent work.
-SERVERS_PAUSE_SECONDS = 0.3
-# How often it is looked whom to follow, in seconds.
-FOLLOW_SECONDS = 0.1
+SERVERS_PAUSE_SECONDS = 0.5
 # Routers look twice a second and stop sending after two misses.
 ROUTERS_NOTICE_SECONDS = 1.5
 # Without a packet for so long the routers have stopped sending.
@@ -83,7 +78,9 @@
         self.mirror = mirrors.Mirror(self.loop)
         self.mirror_endpoint: httpd.HttpEndpoint | None = None
         self.sources: store_follower.Sources | None = None
+        self.following = False
         self.has_servers = False
+        self.tick_at = float("inf")
         self.asked_to_stop = False
         self.asked_to_reload = False
         self.stopping_since: float | None = None
@@ -114,7 +111,7 @@
         self.readiness = ready.serve(
             self.loop, self.settings.readiness, lambda: self.is_ready
         )
-        self.loop.every(TICK_SECONDS, self._tick)
+        self._tick()
         self.log.event("started")
         self.loop.run()
         self.readiness.close()
@@ -159,8 +156,7 @@
         if self.sources.following is None:
             for follower in self.sources.followers:
                 follower.restart()
-        self.loop.every(FOLLOW_SECONDS, self.sources.tick)
-        self.loop.every(FOLLOW_SECONDS, self.mirror.tick)
+        self.following = True
 
     def _open_for_packets(self) -> None:
         """Read packets as soon as it is known where they go.
@@ -186,6 +182,9 @@
             self._log_ejection(server)
         for server in self.core.due_checks(now):
             self.checks.start(server)
+        if self.following:
+            self.sources.tick()
+            self.mirror.tick()
         self._send_digest(now)
         if self.asked_to_reload:
             self.asked_to_reload = False
@@ -193,6 +192,22 @@
         if self.asked_to_stop:
             self._stop(now)
         self.log.flush()
+        self.tick_at = float("inf")
+        self._tick_by(min(self.core.next_due(now), self._digest_due()))
+
+    def _tick_by(self, due: float) -> None:
+        """Tick at a time, unless that is to happen earlier anyway."""
+        now = self.loop.now()
+        due = max(due, now + TICK_SECONDS)
+        if due >= self.tick_at:
+            return
+        self.tick_at = due
+        self.loop.after(due - now, self._tick_due)
+
+    def _tick_due(self) -> None:
+        # An earlier timer has ticked in the meantime.
+        if self.loop.now() >= self.tick_at:
+            self._tick()
 
     def _log_ejection(self, server: backends.Backend) -> None:
         limit = self.core.evidence.round_trip.limit()
@@ -234,9 +249,7 @@
     # Other entry hosts
 
     def _send_digest(self, now: float) -> None:
-        waited = now - self.digest_sent
-        changed = self.digest_open != self.core.table.open
-        if waited < (DIGEST_SECONDS if changed else IDLE_DIGEST_SECONDS):
+        if now < self._digest_due():
             return
         self.digest_sent = now
         self.digest_open = dict(self.core.table.open)
@@ -252,6 +265,12 @@
         for host in self.neighbours.receivers(now):
             self.peers.send(datagram, host)
 
+    def _digest_due(self) -> float:
+        changed = self.digest_open != self.core.table.open
+        cadence = self.neighbours.cadence
+        pause = cadence.period if changed else cadence.idle_period
+        return self.digest_sent + pause
+
     def _digest_received(
         self, datagram: bytes, source: tuple[str, int]
     ) -> None:
@@ -296,6 +315,8 @@
     def _forward(self, packet: flows.Packet, server: backends.Backend) -> None:
         datagram = packets.to_server(packet, server.identity, server.tag)
         self.endpoint.send(datagram, server.address)
+        if packet.opens:
+            self._tick_by(self.core.next_due(self.loop.now()))
         if packet.opens and self.log.wants("flow"):
             self.log.event(
                 "flow",
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -29,8 +29,9 @@
 RETRY_SECONDS = (0.2, 0.3, 0.4, 0.6)
 # Without any answer for so long the store is asked for a sign of life.
 QUIET_SECONDS = 1.0
-# How often it is looked whether to ask.
-LOOK_SECONDS = 0.1
+# A host that has started so lately, in seconds, leaves the store to others;
+# by then it knows its neighbours.
+YOUNG_SECONDS = 3.0
 # A host that failed to pass changes on is not followed for so long.
 AVOID_SECONDS = 2.0
 # A host that knows more than it passes on is left after so long, in seconds.
@@ -67,7 +68,6 @@
     def start(self) -> None:
         """Look for quiet from now on."""
         self.heard = self.loop.now()
-        self.loop.every(LOOK_SECONDS, self._look)
 
     def succeeded(self) -> None:
         """Note an answer."""
@@ -98,7 +98,8 @@
         """Return whether lapsed entries may still come back."""
         return self.away or self.loop.now() - self.since < RETURN_SECONDS
 
-    def _look(self) -> None:
+    def tick(self) -> None:
+        """Ask for a sign of life when it is time."""
         now = self.loop.now()
         quiet = self.wanted and now - self.heard >= QUIET_SECONDS
         if self._asking or not (quiet or self.away) or now < self._next_ask:
@@ -136,6 +137,7 @@
         self._peers: dict[addresses.Address, stores.Store] = {}
         self._avoided: dict[addresses.Address, float] = {}
         self._level = loop.now()
+        self._started = loop.now()
         contact.on_regained = self._restart
         contact.wanted = True
 
@@ -166,11 +168,13 @@
 
     def tick(self) -> None:
         """Follow somebody else when that has become better."""
+        self.contact.tick()
         now = self.loop.now()
         self._leave_laggard(now)
         chosen = watchers.choose_source(
             self.known,
             not self.contact.away,
+            now - self._started < YOUNG_SECONDS,
             {host for host, until in self._avoided.items() if until > now},
             now,
         )
