Serve metrics; log requests by id; survive a fault in a handler

Metrics as text (counters, gauges, histograms with fixed bounds), one line a flow with the inputs of its choice, one with the request's id, lines for silent attempts; settings file looked at without a signal.

--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -6,6 +6,7 @@
 
 from vanilladrum.core import backend as backends
 from vanilladrum.core import balance
+from vanilladrum.core import buckets
 from vanilladrum.core import evidence as evidences
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flowtable
@@ -29,6 +30,23 @@
     return zlib.crc32(data_centre.encode())
 
 
+class SilentAttempt:
+    """A first packet without an answer in time.
+
+    :param key: the flow's addresses and ports.
+    :param waited: seconds since it was sent.
+    :param ejects: whether its server gets no flows for a while now.
+    """
+
+    def __init__(
+        self, key: bytes, server: backends.Backend, waited: float, ejects: bool
+    ) -> None:
+        self.key = key
+        self.server = server
+        self.waited = waited
+        self.ejects = ejects
+
+
 class FlowHost:
     """Decides on packets; knows no sockets and no clock.
 
@@ -62,6 +80,9 @@
         self.last_tick = float("-inf")
         # Whether entries that have gone may come back: the store was away.
         self.unsettled = False
+        # From a first packet to the caller's next one, and to its last.
+        self.answers = buckets.Histogram()
+        self.lengths: dict[str, buckets.Histogram] = {}
         self.counters: collections.Counter = collections.Counter()
 
     def open_flows(self, tag: int) -> float:
@@ -92,23 +113,23 @@
             return self._open(packet, route, now)
         return self._continue(packet, route, now)
 
-    def tick(self, now: float) -> list[backends.Backend]:
+    def tick(self, now: float) -> list[SilentAttempt]:
         """Look for first packets that were not answered in time.
 
-        :returns: the servers that are ejected by it.
+        :returns: these attempts.
         """
-        ejected = []
+        found = []
         if now - self.last_tick > PAUSE_SECONDS:
             # Nobody is to blame for a pause of this process.
             self.table.excuse()
         self.last_tick = now
         self._look_for_cuts(now)
         limit = self.evidence.round_trip.limit()
-        for _, server, sent in self.table.overdue(now - limit):
+        for flow, server, sent in self.table.overdue(now - limit):
+            ejects = self.evidence.silent(server, sent, now)
             self.counters["silent_attempts"] += 1
-            if self.evidence.silent(server, sent, now):
-                self.counters["ejections"] += 1
-                ejected.append(server)
+            self.counters["ejections"] += ejects
+            found.append(SilentAttempt(flow.key, server, now - sent, ejects))
         self.table.expire(now)
         self.neighbours.tick(now)
         if not self.unsettled:
@@ -117,7 +138,7 @@
         for server in self.directory.expire(now):
             self.evidence.forget(server)
             self.pace.forget(server)
-        return ejected
+        return found
 
     def next_due(self, now: float) -> float:
         """Return when :meth:`tick` has something to look at, at the latest."""
@@ -259,10 +280,18 @@
         if packet.closes and not flow.ended:
             self.table.end(flow)
             if flow.server is server and not flow.adopted:
-                self.pace.ended(server, now - flow.sent, now)
+                self._measure(flow, now)
         if flow.answered:
             return
         flow.answered = True
         self.evidence.answered(server, now)
         if flow.server is server:
             self.evidence.round_trip.add(now - flow.sent)
+            self.answers.add(now - flow.sent)
+
+    def _measure(self, flow: flowtable.OpenFlow, now: float) -> None:
+        server = flow.server
+        self.pace.ended(server, now - flow.sent, now)
+        if server.service not in self.lengths:
+            self.lengths[server.service] = buckets.Histogram()
+        self.lengths[server.service].add(now - flow.opened)
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -20,6 +20,7 @@
     :param sent: when that packet was last sent to a server.
     :param answered: whether the caller has heard from the server.
     :param adopted: whether its first packet went through another host.
+    :param named: whether the request in it has been logged.
     :param ended: whether the caller has closed it or given up.
     """
 
@@ -30,6 +31,7 @@
         "sent",
         "answered",
         "adopted",
+        "named",
         "ended",
     )
 
@@ -42,6 +44,7 @@
         self.sent = opened
         self.answered = False
         self.adopted = False
+        self.named = False
         self.ended = False
 
 
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -51,9 +51,9 @@
 
 
 # A small fleet hears of each flow within a fraction of its length. In a
-# large one each host sends 40 to 50 datagrams a second, whatever its size.
+# large one each host sends about 25 datagrams a second, whatever its size.
 SMALL = Cadence(0.04, 0.1, SMALL_FLEET, SMALL_FLEET, 0.5, 0.3)
-LARGE = Cadence(0.1, 0.2, 4, 1, 1.5, 1.5)
+LARGE = Cadence(0.2, 0.4, 4, 1, 2.0, 2.0)
 
 
 class Digest:
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -16,6 +16,7 @@
 from vanilladrum.core import flowhost
 from vanilladrum.core import neighbours
 from vanilladrum.daemons import checks
+from vanilladrum.daemons import flow_metrics
 from vanilladrum.daemons import lines
 from vanilladrum.daemons import store_follower
 from vanilladrum.platform import mirror as mirrors
@@ -32,6 +33,10 @@
 # Shortest time between two looks at what is due, in seconds; a fraction of
 # the shortest wait for an answer.
 TICK_SECONDS = 0.01
+# How often the settings file is looked at, in seconds: it may change without
+# a signal.
+SETTINGS_SECONDS = 2.0
+METRICS_PATH = "/metrics"
 # A starting host waits so long, in seconds, for another one that it may
 # follow before it asks the store.
 MEET_SECONDS = 0.03
@@ -61,7 +66,7 @@
     ) -> None:
         self.settings = settings
         self.log = log
-        self.loop = loops.Loop()
+        self.loop = loops.Loop(self._failed)
         rng = random.Random()
         self.neighbours = neighbours.Neighbours(
             settings.peer,
@@ -78,6 +83,9 @@
         self.mirror = mirrors.Mirror(self.loop)
         self.mirror_endpoint: httpd.HttpEndpoint | None = None
         self.sources: store_follower.Sources | None = None
+        self.metrics: httpd.HttpEndpoint | None = None
+        self.settings_looked = self.loop.now()
+        self.settings_modified = node_settings.modified(node_settings.path())
         self.following = False
         self.has_servers = False
         self.tick_at = float("inf")
@@ -111,16 +119,36 @@
         self.readiness = ready.serve(
             self.loop, self.settings.readiness, lambda: self.is_ready
         )
+        if self.settings.metrics is not None:
+            self.metrics = httpd.HttpEndpoint(
+                self.loop, {METRICS_PATH: self._answer_metrics}
+            )
+            self.metrics.listen(self.settings.metrics)
         self._tick()
-        self.log.event("started")
+        self.log.event("started", seeds=len(self.settings.seeds))
         self.loop.run()
         self.readiness.close()
         self.endpoint.close()
         self.peers.close()
         self.mirror_endpoint.close()
+        if self.metrics is not None:
+            self.metrics.close()
         self.log.event("stopped")
         self.log.flush()
 
+    def _answer_metrics(self, request: httpd.Request) -> None:
+        gauges = {
+            "ready": self.is_ready,
+            "store_away": self.sources.contact.away,
+            "store_calls": self.sources.contact.store.calls,
+            "watching": self.sources.watching,
+            "servers_revision": self.mirror.revision(objects.SERVER_KIND),
+            "datagrams_unsent": self.endpoint.unsent + self.peers.unsent,
+            "lines_dropped": self.log.writer.dropped,
+        }
+        page = flow_metrics.page(self.core, gauges)
+        request.answer(httpd.Answer(200, page.encode()))
+
     def _follow_store(self) -> None:
         store = stores.Store(
             self.loop, self.settings.store, store_follower.STORE_TIMEOUT
@@ -158,6 +186,22 @@
                 follower.restart()
         self.following = True
 
+    def _failed(self, error: Exception) -> None:
+        """Log a fault of this program and go on: a packet that brings one
+        about would otherwise end one host after the other.
+        """
+        # Loaded when needed: it would slow every start.
+        import traceback
+
+        self.core.counters["internal_errors"] += 1
+        where = traceback.extract_tb(error.__traceback__)[-1]
+        self.log.event(
+            "internal error",
+            error=repr(error),
+            file=where.filename,
+            line=where.lineno,
+        )
+
     def _open_for_packets(self) -> None:
         """Read packets as soon as it is known where they go.
 
@@ -177,23 +221,29 @@
 
     def _tick(self) -> None:
         now = self.loop.now()
+        try:
+            self._do_what_is_due(now)
+        finally:
+            self.log.flush()
+            self.tick_at = float("inf")
+            due = min(self.core.next_due(now), self._digest_due())
+            self._tick_by(due)
+
+    def _do_what_is_due(self, now: float) -> None:
         self.core.unsettled = self.sources.unsettled
-        for server in self.core.tick(now):
-            self._log_ejection(server)
+        for attempt in self.core.tick(now):
+            self._log_silence(attempt)
         for server in self.core.due_checks(now):
             self.checks.start(server)
         if self.following:
             self.sources.tick()
             self.mirror.tick()
         self._send_digest(now)
-        if self.asked_to_reload:
+        if self.asked_to_reload or self._settings_changed(now):
             self.asked_to_reload = False
             self._reload()
         if self.asked_to_stop:
             self._stop(now)
-        self.log.flush()
-        self.tick_at = float("inf")
-        self._tick_by(min(self.core.next_due(now), self._digest_due()))
 
     def _tick_by(self, due: float) -> None:
         """Tick at a time, unless that is to happen earlier anyway."""
@@ -209,15 +259,24 @@
         if self.loop.now() >= self.tick_at:
             self._tick()
 
-    def _log_ejection(self, server: backends.Backend) -> None:
+    def _log_silence(self, attempt: flowhost.SilentAttempt) -> None:
         limit = self.core.evidence.round_trip.limit()
         self.log.event(
-            "server ejected",
-            server=server.name,
-            address=server.address,
+            "server ejected" if attempt.ejects else "silent attempt",
+            flow=packets.endpoints(attempt.key),
+            server=attempt.server.name,
+            waited=round(attempt.waited, 4),
             answer_limit=round(limit, 4),
         )
 
+    def _settings_changed(self, now: float) -> bool:
+        if now - self.settings_looked < SETTINGS_SECONDS:
+            return False
+        self.settings_looked = now
+        before = self.settings_modified
+        self.settings_modified = node_settings.modified(node_settings.path())
+        return before != self.settings_modified
+
     def _reload(self) -> None:
         try:
             offered = node_settings.read(node_settings.path())
@@ -306,25 +365,57 @@
         if self.log.wants("packet refused"):
             self.log.event(
                 "packet refused",
-                caller=packets.caller(packet),
+                flow=packets.endpoints(packet.key),
                 decision=type(decision).__name__,
                 reason=decision.reason,
+                tag=packet.tag,
                 generation=self.core.configuration.generation,
+                revision=self.mirror.revision(objects.SERVER_KIND),
             )
 
     def _forward(self, packet: flows.Packet, server: backends.Backend) -> None:
         datagram = packets.to_server(packet, server.identity, server.tag)
         self.endpoint.send(datagram, server.address)
+        self.core.counters["packets"] += 1
         if packet.opens:
-            self._tick_by(self.core.next_due(self.loop.now()))
-        if packet.opens and self.log.wants("flow"):
-            self.log.event(
-                "flow",
-                caller=packets.caller(packet),
-                server=server.name,
-                copies=packet.copies,
-                generation=self.core.configuration.generation,
-            )
+            self._opened(packet, server)
+        else:
+            self._name_request(packet, server)
+
+    def _opened(self, packet: flows.Packet, server: backends.Backend) -> None:
+        now = self.loop.now()
+        self.core.counters["first_packets"] += 1
+        self._tick_by(self.core.next_due(now))
+        if not self.log.wants("flow"):
+            return
+        self.log.event(
+            "flow",
+            flow=packets.endpoints(packet.key),
+            server=server.name,
+            copies=packet.copies,
+            load=self.core.open_flows(server.tag),
+            standing=self.core.evidence.standing(server, now).name,
+            pace=round(self.core.pace.of(server, now), 2),
+            generation=self.core.configuration.generation,
+            revision=self.mirror.revision(objects.SERVER_KIND),
+        )
+
+    def _name_request(
+        self, packet: flows.Packet, server: backends.Backend
+    ) -> None:
+        """Log which request a flow carries, once."""
+        flow = self.core.table.find(packet.key)
+        if flow is None or flow.named or not packets.has_data(packet):
+            return
+        flow.named = True
+        if not self.log.wants("request"):
+            return
+        self.log.event(
+            "request",
+            request=packets.request_id(packet),
+            flow=packets.endpoints(packet.key),
+            server=server.name,
+        )
 
     def _reset(self, packet: flows.Packet) -> None:
         caller = packets.caller(packet)
--- /dev/null
+++ b/vanilladrum/daemons/flow_metrics.py
@@ -0,0 +1,55 @@
+"""Counters, gauges and histograms of a flow host as text."""
+
+from vanilladrum.core import buckets
+from vanilladrum.core import flowhost
+
+PREFIX = "vanilladrum"
+
+
+def page(core: flowhost.FlowHost, gauges: dict[str, float]) -> str:
+    """Return the metrics page.
+
+    :param gauges: further values by name, known to the daemon.
+    """
+    lines = []
+    for name, value in sorted(core.counters.items()):
+        lines.append(f"{PREFIX}_{name}_total {value}")
+    for name, value in sorted((gauges | _gauges(core)).items()):
+        lines.append(f"{PREFIX}_{name} {value:g}")
+    lines.extend(_histogram("answer_seconds", "", core.answers))
+    for service, histogram in sorted(core.lengths.items()):
+        label = f'service="{service}"'
+        lines.extend(_histogram("flow_seconds", label, histogram))
+    return "\n".join(lines) + "\n"
+
+
+def _gauges(core: flowhost.FlowHost) -> dict[str, float]:
+    directory = core.directory
+    return {
+        "configuration_generation": core.configuration.generation,
+        "routes": len(core.configuration.routes),
+        "servers": len(directory.servers),
+        "servers_lapsing": len(directory.lapsing),
+        "servers_departed": len(directory.departed),
+        "open_flows": core.table.open.total(),
+        "known_flows": len(core.table.flows),
+        "entry_hosts": len(core.neighbours.hosts),
+        "answer_limit_seconds": core.evidence.round_trip.limit(),
+    }
+
+
+def _histogram(
+    name: str, label: str, histogram: buckets.Histogram
+) -> list[str]:
+    lines = []
+    comma = "," if label else ""
+    counts = histogram.cumulative()
+    for bound, count in zip(buckets.BOUNDS, counts, strict=True):
+        labels = f'{label}{comma}le="{bound:g}"'
+        lines.append(f"{PREFIX}_{name}_bucket{{{labels}}} {count}")
+    labels = f'{label}{comma}le="+Inf"'
+    lines.append(f"{PREFIX}_{name}_bucket{{{labels}}} {histogram.count}")
+    braces = f"{{{label}}}" if label else ""
+    lines.append(f"{PREFIX}_{name}_sum{braces} {histogram.sum:.6f}")
+    lines.append(f"{PREFIX}_{name}_count{braces} {histogram.count}")
+    return lines
--- a/vanilladrum/platform/packet.py
+++ b/vanilladrum/platform/packet.py
@@ -14,6 +14,7 @@
 _TAG_OFFSET = 24
 _TAG_END = 28
 _FLAGS_OFFSET = 28
+_REQUEST_ID = b"X-Request-Id:"
 RESET = 1
 FIN = 128
 SYN = 64
@@ -50,6 +51,29 @@
     return addresses.unpack(packet.raw[12:16] + packet.raw[8:10])
 
 
+def endpoints(key: bytes) -> str:
+    """Return a flow's addresses and ports as text, caller first."""
+    source = addresses.unpack(key[4:8] + key[0:2])
+    target = addresses.unpack(key[8:12] + key[2:4])
+    return f"{source}>{target}"
+
+
+def has_data(packet: flow.Packet) -> bool:
+    """Return whether a packet carries bytes of its flow."""
+    return len(packet.raw) > HEADER_BYTES
+
+
+def request_id(packet: flow.Packet) -> str | None:
+    """Return the id of the request whose head begins in a packet, or None."""
+    head = packet.raw[HEADER_BYTES:]
+    begin = head.find(_REQUEST_ID)
+    if begin < 0:
+        return None
+    begin += len(_REQUEST_ID)
+    end = head.find(b"\r\n", begin)
+    return head[begin : end if end >= 0 else None].decode("latin-1").strip()
+
+
 def to_server(packet: flow.Packet, identity: bytes, tag: int) -> bytes:
     """Return the datagram that carries a packet to a backend server.
 
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -6,6 +6,7 @@
 from vanilladrum.core import errors
 
 PATH_VARIABLE = "VANILLADRUM_NODE_FILE"
+METRICS_VARIABLE = "VANILLADRUM_METRICS_PORT"
 DEFAULT_PATH = "/etc/vanilladrum/settings.conf"
 
 
@@ -18,6 +19,7 @@
     :param peer: endpoint for other entry hosts.
     :param seeds: endpoints of a few entry hosts; some may be stale.
     :param store: endpoint of the platform's store.
+    :param metrics: endpoint of the metrics page, None for no page.
     :param grace: seconds between SIGTERM and SIGKILL.
     :param flow_lifetime: seconds that a flow may live.
     """
@@ -31,6 +33,7 @@
         peer: addresses.Address,
         seeds: tuple[addresses.Address, ...],
         store: addresses.Address,
+        metrics: addresses.Address | None,
         grace: float,
         flow_lifetime: float,
     ) -> None:
@@ -41,6 +44,7 @@
         self.peer = peer
         self.seeds = seeds
         self.store = store
+        self.metrics = metrics
         self.grace = grace
         self.flow_lifetime = flow_lifetime
 
@@ -86,11 +90,33 @@
             for seed in reader.address_list("seeds")
         ),
         store=reader.address("platform.address"),
+        metrics=_metrics(reader.text("ip"), where),
         grace=reader.number("bounds.grace-s", 6.0),
         flow_lifetime=reader.number("bounds.flow-ttl-s", 60.0),
     )
 
 
+def modified(where: str) -> float:
+    """Return when the settings file was changed, 0 when it is not there."""
+    try:
+        return os.stat(where).st_mtime
+    except OSError:
+        return 0.0
+
+
+def _metrics(ip: str, where: str) -> addresses.Address | None:
+    """Return the endpoint whose port the deploy file sets."""
+    port = os.environ.get(METRICS_VARIABLE, "")
+    if not port:
+        return None
+    try:
+        return addresses.parse(f"{ip}:{port}")
+    except errors.AddressError as error:
+        raise errors.SettingsError(
+            f"{where}: variable {METRICS_VARIABLE} is refused: {error}"
+        ) from error
+
+
 def _pairs(text: str) -> list[tuple[str, str]]:
     pairs = []
     for line in text.splitlines():
--- a/vanilladrum/wire/loop.py
+++ b/vanilladrum/wire/loop.py
@@ -20,12 +20,18 @@
 class Loop:
     """Runs handlers of descriptors and timers on one thread.
 
+    :param on_error: told of an exception that a handler or timer raised;
+        without it the exception ends :meth:`run`.
+
     >>> loop = Loop()
     >>> loop.after(0.0, loop.stop)
     >>> loop.run()
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_error: Callable[[Exception], None] | None = None
+    ) -> None:
+        self.on_error = on_error
         self.timers = timers.Timers()
         self._poll = select.epoll()
         self._handlers: dict[int, Handler] = {}
@@ -73,8 +79,17 @@
             for descriptor, events in self._poll.poll(self._wait()):
                 handler = self._handlers.get(descriptor)
                 if handler is not None:
-                    handler(events)
-            self.timers.run(self.now())
+                    self._guard(handler, events)
+            self._guard(self.timers.run, self.now())
+
+    def _guard(self, work: Callable, *arguments: object) -> None:
+        """Let a fault in one piece of work end no other."""
+        try:
+            work(*arguments)
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
 
     def _wait(self) -> float:
         due = self.timers.next_due()
