--- a/model/__main__.py
+++ b/model/__main__.py
@@ -5,6 +5,7 @@
 
 import minicheck
 
+from model import flows
 from model import generations
 from model import ownership
 
@@ -70,6 +71,9 @@
     for rules in generations.MUTANTS:
         mutant = generations.protocol(rules)
         results.append(catches(mutant, rules.breaks))
+    results.append(check(flows.protocol(flows.Rules())))
+    for rules in flows.MUTANTS:
+        results.append(catches(flows.protocol(rules), rules.breaks))
     return 0 if all(results) else 1
 
 
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,80 @@
+"""Log lines that never hold the process up, and the metrics page."""
+
+import json
+import os
+
+from tests import flows
+from vanilladrum.daemons import flow_metrics
+from vanilladrum.daemons import lines
+
+
+def make_log(limit=lines.LINES_A_SECOND):
+    reading, writing = os.pipe()
+    writer = lines.LineWriter(writing)
+    return lines.EventLog(writer, {"host": "a"}, limit), reading
+
+
+def read(reading):
+    return [
+        json.loads(line)
+        for line in os.read(reading, 1 << 20).split(b"\n")
+        if line
+    ]
+
+
+def test_event_is_one_json_line_with_its_context():
+    log, reading = make_log()
+    log.event("adopted", generation=7, address=flows.BOOKINGS)
+    log.flush()
+    (line,) = read(reading)
+    assert line["event"] == "adopted" and line["host"] == "a"
+    assert line["generation"] == 7 and line["time"].endswith("Z")
+
+
+def test_frequent_event_is_cut_off_and_said_so():
+    log, reading = make_log(limit=3)
+    for _ in range(10):
+        log.event("flow")
+    log.event("other")
+    log._second -= 1
+    log.event("other")
+    log.flush()
+    found = [line["event"] for line in read(reading)]
+    assert found.count("flow") == 3
+    assert found.count("other") == 2
+    assert "lines left out" in found
+
+
+def test_pipe_that_nobody_reads_blocks_nothing_and_bounds_memory(monkeypatch):
+    monkeypatch.setattr(lines, "MAX_BUFFERED_BYTES", 10_000)
+    log, reading = make_log(limit=100_000)
+    for number in range(5000):
+        log.event("flow", number=number)
+        log.flush()
+    assert log.writer.dropped
+    assert len(log.writer._buffer) <= 10_000
+    assert read(reading)
+
+
+def test_closed_pipe_costs_the_lines_only():
+    log, reading = make_log()
+    os.close(reading)
+    log.event("flow")
+    log.flush()
+    log.event("flow")
+    log.flush()
+
+
+def test_metrics_page_has_counters_gauges_and_histograms():
+    host = flows.make_host([flows.make_server(1)])
+    tag = host.receive(flows.make_packet(), 0.0).server.tag
+    host.receive(flows.make_packet(tag=tag), 0.004)
+    host.receive(flows.make_packet(tag=tag, closes=True), 0.03)
+    host.counters["no_route"] += 2
+    page = flow_metrics.page(host, {"ready": True})
+    assert "vanilladrum_no_route_total 2\n" in page
+    assert "vanilladrum_ready 1\n" in page
+    assert 'vanilladrum_answer_seconds_bucket{le="0.005"} 1\n' in page
+    bucket = 'vanilladrum_flow_seconds_bucket{service="bookings",le="0.05"} 1'
+    assert bucket in page
+    assert 'vanilladrum_flow_seconds_count{service="bookings"} 1' in page
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,6 +4,7 @@
 import pytest
 
 from model import __main__ as checker
+from model import flows
 from model import generations
 from model import ownership
 
@@ -51,3 +52,25 @@
 )
 def test_generations_mutant_is_caught(rules):
     assert checker.catches(generations.protocol(rules), rules.breaks)
+
+
+FEW_STATES = 4_000
+
+
+@pytest.mark.parametrize(
+    "rules",
+    [
+        rules
+        for rules in flows.MUTANTS
+        if rules.name in ("resets_unknown", "adopts_anything")
+    ],
+    ids=lambda rules: rules.name,
+)
+def test_flows_hold_and_mutants_are_caught_within_a_few_states(rules):
+    """The whole space is searched by `make model`."""
+    for tried in (flows.Rules(), rules):
+        result = minicheck.check_safety(
+            flows.protocol(tried), max_states=FEW_STATES
+        )
+        broken = result["properties"][rules.breaks]["counterexample"]
+        assert bool(broken) == (tried is rules)
