--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: run test lint format model bench clean
+.PHONY: run run-flows test lint format model bench clean
 
 $(STAMP): pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -12,6 +12,9 @@
 run: $(STAMP)
 	@$(PYTHON) examples/run_cooperativa.py
 
+run-flows: $(STAMP)
+	@$(PYTHON) -m examples.flow_soak 1 10
+
 test: $(STAMP)
 	$(PYTHON) -m pytest
 
--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 
 import pytest
@@ -213,7 +214,7 @@
     """A log that nobody reads is cut short, never waited for."""
     host = cluster.hosts[0]
     await host.stop()
-    reading, writing = __import__("os").pipe()
+    reading, writing = os.pipe()
     before = host.output
     host.output = type("Pipe", (), {})()
     host.output.open = lambda _: open(writing, "ab", closefd=False)
@@ -222,6 +223,6 @@
     await cluster.wait_ready()
     served = sum([await ask_many(cluster, 400, 0.002) for _ in range(2)])
     assert served == 800
-    __import__("os").close(reading)
-    __import__("os").close(writing)
+    os.close(reading)
+    os.close(writing)
     host.output = before
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -380,6 +380,6 @@
 def test_mirror_ends_a_wait_with_an_empty_answer(mirrored):
     mirror, client = mirrored
     mirror.listed("servers", stores.Listing((), 10))
-    client.loop.every(0.02, mirror.tick)
+    client.loop.after(0.15, mirror.tick)
     found = outcome_of(client, client.watch, "servers", 10, 0.1)
     assert found.objects == () and found.revision == 10
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -27,7 +27,6 @@
         "unsettled": False,
         "revision": 5,
         "open_flows": {},
-        "doubted": frozenset(),
         "hosts": (),
     }
     return neighbours.Digest(start, sequence, **(fields | extra))
@@ -184,15 +183,13 @@
 
 @given(
     strategies.dictionaries(tags, strategies.integers(1, 65535), max_size=30),
-    strategies.frozensets(tags, max_size=20),
     strategies.lists(strategies.integers(1, 254), max_size=4),
     strategies.lists(strategies.booleans(), min_size=4, max_size=4),
 )
-def test_digest_survives_the_wire(open_flows, doubted, hosts, flags):
+def test_digest_survives_the_wire(open_flows, hosts, flags):
     leaving, watching, turned_away, unsettled = flags
     sent = make_digest(
         open_flows=open_flows,
-        doubted=doubted,
         hosts=tuple(host_at(n) for n in hosts),
         leaving=leaving,
         watching=watching,
@@ -207,7 +204,6 @@
 def test_largest_digest_fits_one_datagram():
     digest = make_digest(
         open_flows={n: n for n in range(1, 1000)},
-        doubted=frozenset(range(1, 1000)),
         hosts=tuple(host_at(n) for n in range(1, neighbours.NAMED + 1)),
     )
     datagram = digests.encode(digest)
--- a/vanilladrum/core/evidence.py
+++ b/vanilladrum/core/evidence.py
@@ -189,14 +189,6 @@
             return Standing.DOUBTED
         return Standing.GOOD
 
-    def doubted_tags(self, now: float) -> frozenset[int]:
-        """Return the tags of the servers that stay silent here."""
-        return frozenset(
-            tag
-            for tag, record in self.records.items()
-            if record.doubted or not record.health.takes_work(now)
-        )
-
     def forget(self, server: backends.Backend) -> None:
         """Drop what is known of a server that is gone."""
         self.records.pop(server.tag, None)
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -172,7 +172,6 @@
         watching: bool,
         turned_away: bool,
         revision: int,
-        now: float,
     ) -> digests.Digest:
         """Return what the other entry hosts are told."""
         return self.neighbours.make(
@@ -183,7 +182,6 @@
             self.unsettled,
             revision,
             dict(self.table.open),
-            self.evidence.doubted_tags(now),
         )
 
     def _look_for_cuts(self, now: float) -> None:
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -70,7 +70,6 @@
         back, since the store was away.
     :param revision: of the store up to which it knows the servers.
     :param open: open flows by server's tag, servers with none left out.
-    :param doubted: tags of the servers that stay silent at the sender.
     :param hosts: addresses of some other entry hosts.
     """
 
@@ -85,7 +84,6 @@
         "unsettled",
         "revision",
         "open",
-        "doubted",
         "hosts",
     )
 
@@ -101,7 +99,6 @@
         unsettled: bool,
         revision: int,
         open_flows: dict[int, int],
-        doubted: frozenset[int],
         hosts: tuple[addresses.Address, ...],
     ) -> None:
         self.start = start
@@ -114,7 +111,6 @@
         self.unsettled = unsettled
         self.revision = revision
         self.open = open_flows
-        self.doubted = doubted
         self.hosts = hosts
 
 
@@ -216,7 +212,6 @@
         unsettled: bool,
         revision: int,
         open_flows: dict[int, int],
-        doubted: frozenset[int],
     ) -> Digest:
         """Return the next digest of this host."""
         self.sequence += 1
@@ -233,7 +228,6 @@
             unsettled,
             revision,
             open_flows,
-            doubted,
             tuple(named),
         )
 
@@ -288,18 +282,6 @@
                 chosen.append(host)
         return chosen
 
-    def doubting(self, tag: int, now: float) -> int:
-        """Return how many hosts of this data centre doubt a server."""
-        count = 0
-        for neighbour in self.hosts.values():
-            if now - neighbour.heard > self.cadence.fresh:
-                continue
-            digest = neighbour.digest
-            if digest.data_centre != self.data_centre:
-                continue
-            count += tag in digest.doubted
-        return count
-
     def unheard(self, data_centre: int, now: float) -> bool:
         """Return whether the hosts of a data centre have fallen silent."""
         heard = self.heard.get(data_centre)
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -320,7 +320,6 @@
             self.sources.watching and not leaving,
             self.sources.contact.away,
             self.mirror.revision(objects.SERVER_KIND),
-            now,
         )
         datagram = digests.encode(digest)
         for host in self.neighbours.receivers(now):
--- a/vanilladrum/wire/digests.py
+++ b/vanilladrum/wire/digests.py
@@ -1,6 +1,6 @@
 """Digests between entry hosts as datagrams.
 
-Fixed fields, then open flows, doubted servers and hosts. A general codec
+Fixed fields, then open flows and hosts. A general codec
 would have to be loaded before the first packet of a restarted host.
 """
 
@@ -18,12 +18,10 @@
 UNSETTLED = 8
 MAX_OPEN = 65535
 # All in one datagram of an ordinary link, 1,400 bytes.
-MAX_SERVERS = 180
-MAX_DOUBTED = 40
+MAX_SERVERS = 200
 # format, flags, start, sequence, data centre, generation, revision, counts
-_HEAD = struct.Struct("!BBIIIIQHBB")
+_HEAD = struct.Struct("!BBIIIIQHB")
 _OPEN = struct.Struct("!IH")
-_TAG = struct.Struct("!I")
 _HOST = struct.Struct("!4sH")
 
 
@@ -31,7 +29,6 @@
     """Return the datagram of a digest; the busiest servers go first."""
     busiest = sorted(digest.open.items(), key=lambda item: -item[1])
     counts = busiest[:MAX_SERVERS]
-    doubted = sorted(digest.doubted)[:MAX_DOUBTED]
     parts = [
         _HEAD.pack(
             FORMAT,
@@ -42,12 +39,10 @@
             digest.generation,
             digest.revision,
             len(counts),
-            len(doubted),
             len(digest.hosts),
         )
     ]
     parts.extend(_OPEN.pack(tag, min(n, MAX_OPEN)) for tag, n in counts)
-    parts.extend(_TAG.pack(tag) for tag in doubted)
     parts.extend(
         _HOST.pack(socket.inet_aton(host.host), host.port)
         for host in digest.hosts
@@ -87,7 +82,6 @@
         generation,
         revision,
         count,
-        doubted_count,
         host_count,
     ) = _HEAD.unpack_from(datagram)
     if form != FORMAT:
@@ -100,10 +94,6 @@
         tag, number = _OPEN.unpack_from(datagram, at)
         open_flows[tag] = number
         at += _OPEN.size
-    doubted = set()
-    for _ in range(doubted_count):
-        doubted.update(_TAG.unpack_from(datagram, at))
-        at += _TAG.size
     hosts = []
     for _ in range(host_count):
         number, port = _HOST.unpack_from(datagram, at)
@@ -120,6 +110,5 @@
         bool(flags & UNSETTLED),
         revision,
         open_flows,
-        frozenset(doubted),
         tuple(hosts),
     )
--- a/vanilladrum/wire/loop.py
+++ b/vanilladrum/wire/loop.py
@@ -59,15 +59,6 @@
         """Run an action once, some time from now."""
         self.timers.at(self.now() + seconds, action)
 
-    def every(self, seconds: float, action: Callable[[], None]) -> None:
-        """Run an action again and again, first some time from now."""
-
-        def run() -> None:
-            action()
-            self.after(seconds, run)
-
-        self.after(seconds, run)
-
     def stop(self) -> None:
         """Let :meth:`run` return after the current round."""
         self._running = False
