--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -27,6 +27,7 @@
 QUIET_SECONDS = 6.0
 LEAVING_SECONDS = 3.0
 LONGEST_FAULT = 3.0
+POLL_SECONDS = 0.02
 Outcome = flow_caller.Outcome
 FAULTS = {}
 
@@ -117,37 +118,38 @@
         return self.rng.uniform(0.2, LONGEST_FAULT)
 
 
+async def end(
+    host: flow_cluster.EntryHost, number: int, pause: float = 0.0
+) -> None:
+    """End a host's process and start it again, unless another fault did."""
+    process = host.process
+    process.send_signal(number)
+    while process.poll() is None:
+        await asyncio.sleep(POLL_SECONDS)
+    await asyncio.sleep(pause)
+    if host.process is process:
+        host.start()
+
+
 @fault
 async def kill(soak: Soak) -> None:
     """A host is killed and starts again."""
     host = soak.rng.choice(soak.cluster.hosts)
-    host.signal(signal.SIGKILL)
-    await asyncio.to_thread(host.process.wait)
-    await asyncio.sleep(soak.rng.uniform(0.0, 0.5))
-    if host.process.poll() is not None:
-        host.start()
+    await end(host, signal.SIGKILL, soak.rng.uniform(0.0, 0.5))
 
 
 @fault
 async def kill_all(soak: Soak) -> None:
     """All hosts are killed at once."""
-    for host in soak.cluster.hosts:
-        host.signal(signal.SIGKILL)
-    for host in soak.cluster.hosts:
-        await asyncio.to_thread(host.process.wait)
-        if host.process.poll() is not None:
-            host.start()
+    await asyncio.gather(
+        *(end(host, signal.SIGKILL) for host in soak.cluster.hosts)
+    )
 
 
 @fault
 async def stop(soak: Soak) -> None:
     """A host stops as planned and starts again."""
-    host = soak.rng.choice(soak.cluster.hosts)
-    process = host.process
-    process.send_signal(signal.SIGTERM)
-    await asyncio.to_thread(process.wait)
-    if host.process is process:
-        host.start()
+    await end(soak.rng.choice(soak.cluster.hosts), signal.SIGTERM)
 
 
 @fault
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -5,7 +5,10 @@
 from examples import flow_soak
 
 # Seed and what it found.
-SEEDS = {1: "the first one"}
+SEEDS = {
+    1: "the first one",
+    106: "the soak waited for a process that another fault had started",
+}
 SECONDS = 8.0
 
 
--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from vanilladrum.core import errors
+from vanilladrum.daemons import entry
 from vanilladrum.daemons import entry_host as entry_host_daemon
 from vanilladrum.daemons import logs
 from vanilladrum.daemons import settings as settings_module
@@ -49,6 +50,13 @@
         logs.configure(found.log_level, host=found.host.name)
         run_service(entry_host_daemon.EntryHostService(settings=found))
 
+    def flow_host(self) -> None:
+        """Run an entry host on the users' platform until SIGTERM.
+
+        It takes its settings from the platform's file.
+        """
+        entry.main()
+
     def standin(self, kind: str, settings: str) -> None:
         """Run a stand-in for a system outside.
 
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -139,9 +139,9 @@
         """Forget the flows whose callers have given up."""
         for ends in self._ends.values():
             while ends and ends[0][0] <= now:
-                _, flow = ends.popleft()
-                if self.flows.get(flow.key) is flow:
-                    self._drop(flow.key)
+                due = ends.popleft()[1]
+                if self.flows.get(due.key) is due:
+                    self._drop(due.key)
 
     def _drop(self, key: bytes) -> None:
         flow = self.flows.pop(key, None)
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -239,6 +239,16 @@
             if now - neighbour.heard <= self.cadence.fresh
         ]
 
+    def digest(self, host: addresses.Address) -> Digest:
+        """Return the last digest of a host that was heard.
+
+        :raises LookupError: when it was never heard.
+        """
+        found = self.hosts[host].digest
+        if found is None:
+            raise LookupError(f"{host} was never heard")
+        return found
+
     def receivers(self, now: float) -> list[addresses.Address]:
         """Return to whom the next digest goes."""
         silent = []
@@ -258,10 +268,10 @@
         self, hosts: list[addresses.Address]
     ) -> tuple[list[addresses.Address], list[addresses.Address]]:
         """Split hosts into those of the own data centre and others."""
-        near = []
-        far = []
+        near: list[addresses.Address] = []
+        far: list[addresses.Address] = []
         for host in hosts:
-            centre = self.hosts[host].digest.data_centre
+            centre = self.digest(host).data_centre
             (near if centre == self.data_centre else far).append(host)
         return near, far
 
@@ -291,8 +301,9 @@
         if not neighbour.counted:
             return
         neighbour.counted = False
-        self.open.subtract(neighbour.digest.open)
-        for tag in neighbour.digest.open:
+        counted = neighbour.digest.open if neighbour.digest else {}
+        self.open.subtract(counted)
+        for tag in counted:
             if self.open[tag] <= 0:
                 del self.open[tag]
 
--- a/vanilladrum/core/policy.py
+++ b/vanilladrum/core/policy.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import random
+from typing import Any
 
 from vanilladrum.core import errors
 
@@ -18,7 +19,8 @@
     slots: float
 
 
-Choice = Callable[[Sequence[Slots], random.Random], Slots]
+# Returns one of the candidates that it was given.
+Choice = Callable[[Sequence[Any], random.Random], Any]
 POLICIES: dict[str, Choice] = {}
 
 
--- a/vanilladrum/core/watchers.py
+++ b/vanilladrum/core/watchers.py
@@ -35,18 +35,16 @@
     before = [
         host
         for host in group
-        if not neighbours.hosts[host].digest.turned_away and _rank(host) < mine
+        if not neighbours.digest(host).turned_away and _rank(host) < mine
     ]
     if store_answers and knows and len(before) < WATCHERS:
         return None
     usable = [host for host in group if host not in avoided]
-    watching = [
-        host for host in usable if neighbours.hosts[host].digest.watching
-    ]
+    watching = [host for host in usable if neighbours.digest(host).watching]
     if not knows and not watching:
         # Whoever knows the servers can tell a newcomer.
         watching = [
-            host for host in usable if neighbours.hosts[host].digest.revision
+            host for host in usable if neighbours.digest(host).revision
         ]
     if not watching:
         return None
@@ -63,12 +61,9 @@
         fresh = [
             host
             for host in fresh
-            if neighbours.hosts[host].digest.data_centre
-            == neighbours.data_centre
+            if neighbours.digest(host).data_centre == neighbours.data_centre
         ]
-    return [
-        host for host in fresh if not neighbours.hosts[host].digest.leaving
-    ]
+    return [host for host in fresh if not neighbours.digest(host).leaving]
 
 
 def _rank(host: addresses.Address) -> int:
--- a/vanilladrum/daemons/flow_metrics.py
+++ b/vanilladrum/daemons/flow_metrics.py
@@ -12,8 +12,8 @@
     :param gauges: further values by name, known to the daemon.
     """
     lines = []
-    for name, value in sorted(core.counters.items()):
-        lines.append(f"{PREFIX}_{name}_total {value}")
+    for name, count in sorted(core.counters.items()):
+        lines.append(f"{PREFIX}_{name}_total {count}")
     for name, value in sorted((gauges | _gauges(core)).items()):
         lines.append(f"{PREFIX}_{name} {value:g}")
     lines.extend(_histogram("answer_seconds", "", core.answers))
--- /dev/null
+++ b/vanilladrum/daemons/packet_path.py
@@ -0,0 +1,132 @@
+"""The way of callers' packets through this process."""
+
+from collections.abc import Callable
+import socket
+
+from vanilladrum.core import address as addresses
+from vanilladrum.core import backend as backends
+from vanilladrum.core import errors
+from vanilladrum.core import flow as flows
+from vanilladrum.core import flowhost
+from vanilladrum.daemons import known_state
+from vanilladrum.daemons import lines
+from vanilladrum.platform import packet as packets
+from vanilladrum.wire import datagrams
+from vanilladrum.wire import loop as loops
+
+
+class PacketPath:
+    """Reads packets, lets the core decide, and sends them on.
+
+    :param bound: socket at which packets wait until they can be served.
+    :param on_first: told of each first packet that was forwarded.
+    :param last_packet: when a packet last came, monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        bound: socket.socket,
+        core: flowhost.FlowHost,
+        state: known_state.KnownState,
+        log: lines.EventLog,
+        on_first: Callable[[], None],
+    ) -> None:
+        self.loop = loop
+        self.core = core
+        self.state = state
+        self.log = log
+        self.on_first = on_first
+        self.last_packet = 0.0
+        # Routers take packets for callers at the port of this socket.
+        self.callers_port = bound.getsockname()[1]
+        self.socket = datagrams.Datagrams(loop, bound, self._received)
+
+    def open(self) -> None:
+        """Read packets from now on."""
+        self.socket.open()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
+
+    def _received(self, datagram: bytes, _: tuple[str, int]) -> None:
+        try:
+            packet = packets.decode(datagram)
+        except errors.PacketError as error:
+            self.core.counters[f"refused_{error.kind}"] += 1
+            return
+        now = self.loop.now()
+        self.last_packet = now
+        decision = self.core.receive(packet, now)
+        if isinstance(decision, flows.Forward):
+            self._forward(packet, decision.server, now)
+        else:
+            self._refuse(packet, decision)
+
+    def _forward(
+        self, packet: flows.Packet, server: backends.Backend, now: float
+    ) -> None:
+        datagram = packets.to_server(packet, server.identity, server.tag)
+        self.socket.send(datagram, server.address)
+        self.core.counters["packets"] += 1
+        if packet.opens:
+            self.core.counters["first_packets"] += 1
+            self.on_first()
+            self._log_flow(packet, server, now)
+        else:
+            self._name_request(packet, server)
+
+    def _refuse(
+        self, packet: flows.Packet, decision: flows.Reset | flows.Ignore
+    ) -> None:
+        self.core.counters[decision.reason] += 1
+        if isinstance(decision, flows.Reset):
+            caller = packets.caller(packet)
+            to = addresses.Address(caller.host, self.callers_port)
+            self.socket.send(packets.reset(packet), to)
+        if not self.log.wants("packet refused"):
+            return
+        self.log.event(
+            "packet refused",
+            flow=packets.endpoints(packet.key),
+            decision=type(decision).__name__,
+            reason=decision.reason,
+            tag=packet.tag,
+            generation=self.core.configuration.generation,
+            revision=self.state.revision,
+        )
+
+    def _log_flow(
+        self, packet: flows.Packet, server: backends.Backend, now: float
+    ) -> None:
+        if not self.log.wants("flow"):
+            return
+        self.log.event(
+            "flow",
+            flow=packets.endpoints(packet.key),
+            server=server.name,
+            copies=packet.copies,
+            load=self.core.open_flows(server.tag),
+            standing=self.core.evidence.standing(server, now).name,
+            pace=round(self.core.pace.of(server, now), 2),
+            generation=self.core.configuration.generation,
+            revision=self.state.revision,
+        )
+
+    def _name_request(
+        self, packet: flows.Packet, server: backends.Backend
+    ) -> None:
+        """Log which request a flow carries, once."""
+        flow = self.core.table.find(packet.key)
+        if flow is None or flow.named or not packets.has_data(packet):
+            return
+        flow.named = True
+        if not self.log.wants("request"):
+            return
+        self.log.event(
+            "request",
+            request=packets.request_id(packet),
+            flow=packets.endpoints(packet.key),
+            server=server.name,
+        )
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
@@ -157,7 +158,7 @@
     @property
     def unsettled(self) -> bool:
         """Return whether lapsed entries may still come back."""
-        neighbour = self.known.hosts.get(self.following)
+        neighbour = self._followed()
         if neighbour is None or neighbour.digest is None:
             return self.contact.returned_lately()
         return neighbour.digest.unsettled
@@ -200,15 +201,20 @@
         self._avoided[host] = self.loop.now() + AVOID_SECONDS
         self.contact.log.event("source avoided", host=host, reason=reason)
 
+    def _followed(self) -> neighbours.Neighbour | None:
+        if self.following is None:
+            return None
+        return self.known.hosts.get(self.following)
+
     def _leave_laggard(self, now: float) -> None:
         """Leave a host that has told of a revision it does not pass on."""
         known = self.mirror.revision(objects.SERVER_KIND)
-        neighbour = self.known.hosts.get(self.following)
+        neighbour = self._followed()
         if neighbour is None or neighbour.digest is None:
             self._level = now
         elif neighbour.digest.revision <= known:
             self._level = now
-        elif now - self._level > LAG_SECONDS:
+        elif self.following and now - self._level > LAG_SECONDS:
             self.avoid(self.following, "passes no changes on")
 
     def _restart(self) -> None:
@@ -255,12 +261,12 @@
         self._round += 1
         current = self._round
 
-        def answered(outcome: object) -> None:
+        def answered(outcome: Any) -> None:
             if current == self._round:
                 self._answered(outcome)
 
         source = self.sources.source
-        if self._relist:
+        if self._relist or self.revision is None:
             self._cancel = _nothing
             source.list(self.kind, answered)
             return
@@ -268,7 +274,7 @@
             self.kind, self.revision, WATCH_SECONDS, answered
         )
 
-    def _answered(self, outcome: object) -> None:
+    def _answered(self, outcome: Any) -> None:
         pause = 0.0
         if isinstance(outcome, errors.HistoryGoneError):
             self.sources.contact.log.event(
@@ -281,8 +287,16 @@
             pause = RETRY_SECONDS[-1]
         else:
             pause = self._take(outcome)
+        self._ask_after(pause)
+
+    def _ask_after(self, pause: float) -> None:
         current = self._round
-        self.loop.after(pause, lambda: current == self._round and self._ask())
+
+        def ask() -> None:
+            if current == self._round:
+                self._ask()
+
+        self.loop.after(pause, ask)
 
     def _take(self, outcome: stores.Listing | stores.Changes) -> float:
         """Pass on what came; return the pause before the next call."""
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -153,6 +153,6 @@
 def _changes(known: _Kind, revision: int) -> httpd.Answer:
     plain = {
         "events": known.changes(revision),
-        "store-revision": max(known.revision, revision),
+        "store-revision": max(known.revision or 0, revision),
     }
     return httpd.Answer(200, json.dumps(plain).encode())
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -1,5 +1,7 @@
 """The platform's objects, read into our types."""
 
+from typing import Any
+
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
 from vanilladrum.core import errors
@@ -31,7 +33,7 @@
         self,
         name: str,
         revision: int,
-        content: object,
+        content: Any,
         deleted: bool = False,
         plain: dict | None = None,
     ) -> None:
@@ -121,7 +123,9 @@
 
 def _route(plain: dict) -> routes.Route:
     if "service" in plain:
-        shares = (routes.Share(_text(plain["service"])),)
+        shares: tuple[routes.Share, ...] = (
+            routes.Share(_text(plain["service"])),
+        )
     else:
         # These are services, not servers.
         shares = tuple(
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import json
+from typing import Any
 
 import httptools
 
@@ -54,7 +55,8 @@
     """The store has answered."""
 
 
-Done = Callable[[object], None]
+# Takes a value or a PlatformError.
+Done = Callable[[Any], None]
 
 
 class _Call:
@@ -63,12 +65,12 @@
     :param done: told the plain answer or an error, once.
     """
 
-    def __init__(self, done: Done) -> None:
+    def __init__(self, done: Done, connection: "_Connection") -> None:
         self.done = done
-        self.connection: _Connection | None = None
+        self.connection = connection
         self.ended = False
 
-    def finish(self, outcome: object) -> None:
+    def finish(self, outcome: Any) -> None:
         if self.ended:
             return
         self.ended = True
@@ -191,7 +193,7 @@
             page = tuple(objects.stored(each) for each in plain["items"])
             return page, plain["store-revision"], plain["has-more"]
 
-        def next_page(outcome: object) -> None:
+        def next_page(outcome: Any) -> None:
             if isinstance(outcome, errors.PlatformError):
                 done(outcome)
                 return
@@ -218,7 +220,7 @@
         text = f"{method} {OBJECTS}{path}"
         self.calls += 1
 
-        def finished(outcome: object) -> None:
+        def finished(outcome: Any) -> None:
             if isinstance(outcome, str):
                 self.drop_idle()
                 done(self._silent(text, outcome))
@@ -233,22 +235,22 @@
             call.connection.stream.close()
             call.finish(reason)
 
+        def give_up_unconnected() -> None:
+            # A way that swallows packets shows in the connection already.
+            if not connection.stream.connected:
+                give_up("no way")
+
         def cancel() -> None:
             call.done = lambda _: None
             give_up("cancelled")
 
-        call = _Call(finished)
         connection = self._take()
-        call.connection = connection
+        call = _Call(finished, connection)
         request = f"{text} HTTP/1.1\r\nHost: {self.at}\r\n\r\n"
         connection.send(call, request.encode())
         self.loop.after(self.timeout + wait, give_up)
         if not connection.stream.connected:
-            # A way that swallows packets shows in the connection already.
-            self.loop.after(
-                self.timeout,
-                lambda: connection.stream.connected or give_up("no way"),
-            )
+            self.loop.after(self.timeout, give_up_unconnected)
         return cancel
 
     def _silent(self, text: str, reason: str) -> errors.StoreSilentError:
--- a/vanilladrum/wire/stream.py
+++ b/vanilladrum/wire/stream.py
@@ -10,8 +10,9 @@
 
 READ_BYTES = 65536
 BACKLOG = 64
-# What a peer that does not read may make this process keep.
-MAX_UNSENT_BYTES = 1 << 20
+# What a peer that does not read may make this process keep; four times the
+# largest object of the store.
+MAX_UNSENT_BYTES = 4 << 20
 # The shortest keep-alive probes that the socket interface knows, seconds.
 PROBE_IDLE_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
@@ -117,7 +118,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._fail(errno.errorcode.get(error.errno, str(error)))
+            self._fail(_name(error))
             return
         if not data:
             self._fail("closed by peer")
@@ -131,7 +132,7 @@
             except BlockingIOError:
                 sent = 0
             except OSError as error:
-                self._fail(errno.errorcode.get(error.errno, str(error)))
+                self._fail(_name(error))
                 return
             del self._unsent[:sent]
         events = loops.READ | (loops.WRITE if self._unsent else 0)
@@ -144,6 +145,11 @@
         self.on_end(reason)
 
 
+def _name(error: OSError) -> str:
+    """Return the symbol of an error, such as ECONNRESET."""
+    return errno.errorcode.get(error.errno or 0, str(error))
+
+
 class Listener:
     """A TCP endpoint.
 
