Wait for large answers while they come; take configurations from the store

Change: a call is given up after silence, not while more of its answer comes; each host takes the configuration from the store and only the servers through others; a host that hears of a newer configuration for 0.5 s and is receiving nothing asks again. Test test_large_answer_on_a_slow_link_is_waited_for fails without it.

--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -175,8 +175,9 @@
 async def test_only_two_hosts_watch_the_store(cluster):
     await asyncio.sleep(4.0)
     cluster.store.calls.clear()
-    await cluster.configure()
-    await asyncio.sleep(0.5)
+    server = cluster.servers[0]
+    await cluster.store.put("servers", server.name, server.entry())
+    await asyncio.sleep(1.0)
     # Each host whose watch was answered by the change asks again.
     assert cluster.store.calls["watch"] == 2
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """The platform's settings, packets, objects and store."""
 
+import functools
 import json
 import random
 
@@ -383,3 +384,22 @@
     client.loop.after(0.15, mirror.tick)
     found = outcome_of(client, client.watch, "servers", 10, 0.1)
     assert found.objects == () and found.revision == 10
+
+
+def test_large_answer_on_a_slow_link_is_waited_for(fake):
+    """Only silence is given up, not an answer of which more still comes."""
+    body = json.dumps(
+        {"items": [], "has-more": False, "store-revision": 9}
+    ).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    parts = [head.encode()] + [body[n : n + 5] for n in range(0, len(body), 5)]
+
+    def drip(request):
+        stream = next(iter(fake.endpoint.connections)).stream
+        for number, part in enumerate(parts):
+            send = functools.partial(stream.send, part)
+            fake.loop.after(0.08 * number, send)
+
+    fake.endpoint.handlers[f"{stores.OBJECTS}/servers"] = drip
+    outcome = fake.outcome(fake.client.list, "servers")
+    assert outcome.revision == 9
--- a/vanilladrum/daemons/known_state.py
+++ b/vanilladrum/daemons/known_state.py
@@ -47,7 +47,11 @@
         )
         self.contact = store_follower.Contact(loop, store, log)
         self.sources = store_follower.Sources(
-            loop, self.contact, core.neighbours, self.mirror
+            loop,
+            self.contact,
+            core.neighbours,
+            self.mirror,
+            lambda: core.configuration.generation,
         )
         store_follower.Follower(
             self.sources,
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -116,6 +116,7 @@
 class Sources:
     """Decides whom this host follows, and starts followers again.
 
+    :param generation: returns the configuration in force.
     :param following: another entry host, None for the store.
     """
 
@@ -125,23 +126,30 @@
         contact: Contact,
         known: neighbours.Neighbours,
         mirror: mirrors.Mirror,
+        generation: Callable[[], int],
     ) -> None:
         self.loop = loop
         self.contact = contact
         self.known = known
         self.mirror = mirror
+        self.generation = generation
         self.following: addresses.Address | None = None
         self.followers: list[Follower] = []
         self._peers: dict[addresses.Address, stores.Store] = {}
         self._avoided: dict[addresses.Address, float] = {}
         self._level = loop.now()
+        self._behind = loop.now()
         contact.on_regained = self._restart
         contact.wanted = True
 
-    @property
-    def source(self) -> stores.Store:
-        """Return what is asked now."""
-        if self.following is None:
+    def source(self, kind: str) -> stores.Store:
+        """Return what is asked for a kind now.
+
+        Each host takes the configuration from the store: it changes seldom,
+        and a large one would fill the links of the hosts that pass it on.
+        """
+        alone = kind == objects.CONFIGURATION_KIND and not self.contact.away
+        if self.following is None or alone:
             return self.contact.store
         if self.following not in self._peers:
             self._peers[self.following] = stores.Store(
@@ -168,6 +176,7 @@
         self.contact.tick()
         now = self.loop.now()
         self._leave_laggard(now)
+        self._catch_up(now)
         chosen = watchers.choose_source(
             self.known,
             not self.contact.away,
@@ -184,17 +193,19 @@
         self.contact.log.event("following", host=chosen or "store")
         self._restart()
 
-    def answered(self) -> None:
-        """Note an answer of what is asked now."""
-        if self.following is None:
+    def answered(self, source: stores.Store) -> None:
+        """Note an answer of a source."""
+        if source is self.contact.store:
             self.contact.succeeded()
 
-    def failed(self, error: errors.PlatformError) -> None:
-        """Note that what is asked now has failed."""
-        if self.following is None:
+    def failed(
+        self, source: stores.Store, error: errors.PlatformError
+    ) -> None:
+        """Note that a source has failed."""
+        if source is self.contact.store:
             self.contact.failed(error)
             return
-        self.avoid(self.following, str(error))
+        self.avoid(source.at, str(error))
 
     def avoid(self, host: addresses.Address, reason: str) -> None:
         """Follow a host no more for a while."""
@@ -217,6 +228,24 @@
         elif self.following and now - self._level > LAG_SECONDS:
             self.avoid(self.following, "passes no changes on")
 
+    def _catch_up(self, now: float) -> None:
+        """Ask for the configuration again when others have a newer one."""
+        newest = max(
+            (self.known.digest(host).generation for host in self._heard(now)),
+            default=0,
+        )
+        if newest <= self.generation() or self.contact.store.receiving():
+            self._behind = now
+        elif now - self._behind > LAG_SECONDS:
+            self._behind = now
+            self.contact.log.event("configuration behind", newest=newest)
+            for follower in self.followers:
+                if follower.kind == objects.CONFIGURATION_KIND:
+                    follower.restart()
+
+    def _heard(self, now: float) -> list[addresses.Address]:
+        return self.known.fresh(now)
+
     def _restart(self) -> None:
         for follower in self.followers:
             follower.restart()
@@ -247,6 +276,7 @@
         self.pause = pause
         self.revision: int | None = None
         self._relist = True
+        self._source = sources.contact.store
         self._round = 0
         self._cancel: Callable[[], None] = _nothing
         sources.followers.append(self)
@@ -265,7 +295,8 @@
             if current == self._round:
                 self._answered(outcome)
 
-        source = self.sources.source
+        source = self.sources.source(self.kind)
+        self._source = source
         if self._relist or self.revision is None:
             self._cancel = _nothing
             source.list(self.kind, answered)
@@ -282,7 +313,7 @@
             )
             self._relist = True
         elif isinstance(outcome, errors.PlatformError):
-            self.sources.failed(outcome)
+            self.sources.failed(self._source, outcome)
             # Contact, or another source, starts this follower again sooner.
             pause = RETRY_SECONDS[-1]
         else:
@@ -305,7 +336,8 @@
             if outcome.revision < (self.revision or 0):
                 # Another host that knows less than this one.
                 self.sources.failed(
-                    errors.PlatformError("its list is older than ours")
+                    self._source,
+                    errors.PlatformError("its list is older than ours"),
                 )
                 return RETRY_SECONDS[0]
             self._relist = False
@@ -319,7 +351,7 @@
                 pause = self.pause
         self.revision = outcome.revision
         # Told last: it may start this and other followers again.
-        self.sources.answered()
+        self.sources.answered(self._source)
         return pause
 
 
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -83,6 +83,8 @@
     def __init__(self, loop: loops.Loop, to: addresses.Address) -> None:
         self.call: _Call | None = None
         self.body = b""
+        self.heard = float("-inf")
+        self.loop = loop
         self.parser = httptools.HttpResponseParser(self)
         self.stream = streams.Stream.connect(
             loop, to, self._received, self._ended
@@ -105,6 +107,7 @@
             call.finish((self.parser.get_status_code(), self.body))
 
     def _received(self, data: bytes) -> None:
+        self.heard = self.loop.now()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -134,6 +137,7 @@
         self.timeout = timeout
         self.calls = 0
         self._idle: list[_Connection] = []
+        self._busy: set[_Connection] = set()
 
     def list(self, kind: str, done: Done) -> None:
         """Ask for all objects of a kind, page by page.
@@ -175,6 +179,11 @@
         path = f"/{kind}/{objects.CONFIGURATION_NAME}?allow-stale=1"
         self._call("GET", path, lambda _: Alive(), done, absent_ok=True)
 
+    def receiving(self) -> bool:
+        """Return whether part of an answer came a moment ago."""
+        now = self.loop.now()
+        return any(now - each.heard < self.timeout for each in self._busy)
+
     def drop_idle(self) -> None:
         """Close the connections that wait for a call."""
         for each in self._idle:
@@ -221,6 +230,7 @@
         self.calls += 1
 
         def finished(outcome: Any) -> None:
+            self._busy.discard(connection)
             if isinstance(outcome, str):
                 self.drop_idle()
                 done(self._silent(text, outcome))
@@ -228,7 +238,15 @@
             self._keep(call.connection)
             done(_read(text, outcome, read, absent_ok))
 
-        def give_up(reason: str = "timeout") -> None:
+        def look(reason: str = "timeout") -> None:
+            # A large answer on a slow link is fine while more of it comes.
+            quiet = self.loop.now() - connection.heard
+            if not call.ended and quiet < self.timeout:
+                self.loop.after(self.timeout - quiet, look)
+                return
+            give_up(reason)
+
+        def give_up(reason: str) -> None:
             if call.ended:
                 return
             call.connection.call = None
@@ -242,13 +260,16 @@
 
         def cancel() -> None:
             call.done = lambda _: None
+            self._busy.discard(connection)
             give_up("cancelled")
 
         connection = self._take()
         call = _Call(finished, connection)
+        connection.heard = float("-inf")
+        self._busy.add(connection)
         request = f"{text} HTTP/1.1\r\nHost: {self.at}\r\n\r\n"
         connection.send(call, request.encode())
-        self.loop.after(self.timeout + wait, give_up)
+        self.loop.after(self.timeout + wait, look)
         if not connection.stream.connected:
             self.loop.after(self.timeout, give_up_unconnected)
         return cancel
