--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -163,6 +163,12 @@
         ready = all(each.revision is not None for each in self.followers)
         return self.following is None and not self.contact.away and ready
 
+    @property
+    def knows(self) -> bool:
+        """Return whether this host knows configuration and servers."""
+        servers = self.mirror.revision(objects.SERVER_KIND)
+        return servers > 0 and self.generation() > 0
+
     @property
     def unsettled(self) -> bool:
         """Return whether lapsed entries may still come back."""
@@ -180,7 +186,7 @@
         chosen = watchers.choose_source(
             self.known,
             not self.contact.away,
-            self.mirror.revision(objects.SERVER_KIND) > 0,
+            self.knows,
             {host for host, until in self._avoided.items() if until > now},
             now,
         )
