--- a/vanilladrum/core/address.py
+++ b/vanilladrum/core/address.py
@@ -2,7 +2,7 @@
 
 import collections
 import functools
-import socket
+import ipaddress
 
 from vanilladrum.core import errors
 
@@ -29,22 +29,9 @@
         return _pack(self.host, self.port)
 
 
-def _number(host: str) -> bytes:
-    """Return the bytes of an IP number.
-
-    :raises OSError: when the text is none.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.inet_pton(family, host)
-
-
-def _family(number: bytes) -> int:
-    return socket.AF_INET if len(number) == 4 else socket.AF_INET6
-
-
 @functools.lru_cache(maxsize=65536)
 def _pack(host: str, port: int) -> bytes:
-    return _number(host) + port.to_bytes(PORT_BYTES, "big")
+    return ipaddress.ip_address(host).packed + port.to_bytes(PORT_BYTES, "big")
 
 
 @functools.lru_cache(maxsize=65536)
@@ -62,7 +49,7 @@
             f"packed address has {len(data)} bytes; send 6 or 18"
         )
     port = int.from_bytes(data[-PORT_BYTES:], "big")
-    return Address(socket.inet_ntop(_family(number), number), port)
+    return Address(str(ipaddress.ip_address(number)), port)
 
 
 def parse(text: str) -> Address:
@@ -85,10 +72,10 @@
         )
     bare = host.removeprefix("[").removesuffix("]")
     try:
-        number = _number(bare)
-    except (OSError, ValueError) as error:
+        number = ipaddress.ip_address(bare)
+    except ValueError as error:
         raise errors.AddressError(
             f"{bare!r} is no IP number; names are not resolved, "
             "write an IP number"
         ) from error
-    return Address(socket.inet_ntop(_family(number), number), port)
+    return Address(str(number), port)
