--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -10,7 +10,13 @@
 from vanilladrum.core import errors
 from vanilladrum.core import neighbours
 from vanilladrum.core import watchers
+from vanilladrum.daemons import lines
+from vanilladrum.daemons import store_follower
+from vanilladrum.platform import mirror as mirrors
+from vanilladrum.platform import objects
+from vanilladrum.platform import store as stores
 from vanilladrum.wire import digests
+from vanilladrum.wire import loop as loops
 
 
 def host_at(number):
@@ -224,3 +230,48 @@
     datagram = digests.encode(make_digest(open_flows={1: 1}))
     with pytest.raises(errors.PacketError):
         digests.decode(datagram[:-1])
+
+
+def make_sources(newest, away):
+    """Return sources of a host behind others; restarts are counted."""
+    loop = loops.Loop()
+    view = make_view(1, {2: make_digest(generation=newest)}, loop.now())
+    log = lines.EventLog(lines.LineWriter(1), {})
+    store = stores.Store(loop, host_at(9), 0.3)
+    contact = store_follower.Contact(loop, store, log)
+    contact.away = away
+    found = store_follower.Sources(
+        loop, contact, view, mirrors.Mirror(loop), lambda: 1
+    )
+    found.following = host_at(2)
+    follower = store_follower.Follower(
+        found, objects.CONFIGURATION_KIND, print, print
+    )
+    restarts = []
+    follower.restart = lambda: restarts.append(1)
+    return found, restarts
+
+
+def hear_later(sources):
+    """Hear the newer configuration once more, and return when."""
+    later = sources.loop.now() + store_follower.LAG_SECONDS + 0.1
+    sources.known.hear(host_at(2), make_digest(2, generation=7), later)
+    return later
+
+
+@pytest.mark.parametrize("away", [False, True])
+def test_configuration_that_is_arriving_is_not_asked_for_again(away):
+    """From the store, and from another host while the store is away."""
+    sources, restarts = make_sources(newest=7, away=away)
+    later = hear_later(sources)
+    sources.source(objects.CONFIGURATION_KIND).receiving = lambda: True
+    sources._catch_up(later)
+    assert restarts == []
+
+
+def test_configuration_that_others_have_is_asked_for_again():
+    sources, restarts = make_sources(newest=7, away=False)
+    sources._catch_up(sources.loop.now())
+    assert restarts == []
+    sources._catch_up(hear_later(sources))
+    assert restarts == [1]
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -236,11 +236,13 @@
 
     def _catch_up(self, now: float) -> None:
         """Ask for the configuration again when others have a newer one."""
+        heard = self.known.fresh(now)
         newest = max(
-            (self.known.digest(host).generation for host in self._heard(now)),
+            (self.known.digest(host).generation for host in heard),
             default=0,
         )
-        if newest <= self.generation() or self.contact.store.receiving():
+        source = self.source(objects.CONFIGURATION_KIND)
+        if newest <= self.generation() or source.receiving():
             self._behind = now
         elif now - self._behind > LAG_SECONDS:
             self._behind = now
@@ -249,9 +251,6 @@
                 if follower.kind == objects.CONFIGURATION_KIND:
                     follower.restart()
 
-    def _heard(self, now: float) -> list[addresses.Address]:
-        return self.known.fresh(now)
-
     def _restart(self) -> None:
         for follower in self.followers:
             follower.restart()
