Split the entry host by decision and let mypy be part of lint

Done: routing, judging, serving and dispatching have a module each round one HostState; the daemon is split into sockets (traffic), configuration and joining; starts, rumours, suspicions and rounds leave membership. Messages of entry hosts are typed for mypy (dataclass_transform); a job is asked for through Entry.open_job, which names the remedy.

Tests of the request path, its processes and models pass unchanged but for the names that moved.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m flake8
+	$(PYTHON) -m mypy vanilladrum
 
 format: $(STAMP)
 	$(PYTHON) -m ruff format .
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -151,7 +151,7 @@
     )
     host = daemon.EntryHostService(settings=settings)
     await host.start()
-    await host._adopt(fleet_of(service, server))
+    await host.configuration.adopt(fleet_of(service, server))
     return host
 
 
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -11,6 +11,7 @@
 from vanilladrum import __main__ as command_line
 from vanilladrum.core import membership as memberships
 from vanilladrum.core import placement
+from vanilladrum.core import starts
 
 VARIANTS: dict[str, Callable[[], None]] = {}
 
@@ -46,10 +47,9 @@
         found = [
             member
             for member in self.members.values()
-            if member.state
-            in (memberships.State.ALIVE, memberships.State.SUSPECT)
+            if member.state in (starts.State.ALIVE, starts.State.SUSPECT)
         ]
-        if self.me.state == memberships.State.ALIVE:
+        if self.me.state == starts.State.ALIVE:
             found.append(self.me)
         return found
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,10 +8,11 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import membership as memberships
 from vanilladrum.core import peers
+from vanilladrum.core import starts
 from vanilladrum.wire import peers as wire_peers
 
 STEP = 0.02
-State = memberships.State
+State = starts.State
 
 
 @attrs.define(eq=False)
@@ -39,7 +40,7 @@
         rng = random.Random(self.rng.random())
         me = peers.Member(
             number,
-            memberships.first_start(self.now + 1.0),
+            starts.first_start(self.now + 1.0),
             addresses.Address("10.0.0.1", number + 1),
             "bilbao",
         )
@@ -155,12 +156,10 @@
     node = group.nodes[3]
     ahead = node.me
     for _ in range(500):
-        ahead = attrs.evolve(
-            ahead, start=memberships.following_start(ahead.start)
-        )
+        ahead = attrs.evolve(ahead, start=starts.following_start(ahead.start))
     group.nodes[0].merge_all((ahead,), 0.0)
     group.run(5.0)
-    assert memberships.newer(node.me.start, ahead.start)
+    assert starts.newer(node.me.start, ahead.start)
     assert group.all_see(3, State.ALIVE)
 
 
--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -69,7 +69,7 @@
                 f"{sorted(STANDINS)}"
             )
         service, settings_class = STANDINS[kind]
-        found = settings_module.read(settings_class, settings)
+        found: object = settings_module.read(settings_class, settings)
         logs.configure("info", standin=kind)
         run_service(service(settings=found))
 
--- a/vanilladrum/core/attempts.py
+++ b/vanilladrum/core/attempts.py
@@ -76,6 +76,8 @@
         """End what still runs of a job, and tell the servers."""
         for number in list(job.running):
             loser = self.end(number)
+            if loser is None:
+                continue
             self.send(actions.CancelAtServer(number, loser.server.address))
 
     def _waits(self, service: fleets.Service) -> Waits:
--- a/vanilladrum/core/dispatcher.py
+++ b/vanilladrum/core/dispatcher.py
@@ -184,11 +184,11 @@
                 return self._start(job, slots, now)
         for number in queue.pinned:
             job = queue.head(number)
-            slots = self.servers.get(number)
-            if job is None or slots is None:
+            home = self.servers.get(number)
+            if job is None or home is None:
                 continue
-            if slots.busy < slots.limit(now) and self._may_use(slots, now):
-                return self._start(job, slots, now)
+            if home.busy < home.limit(now) and self._may_use(home, now):
+                return self._start(job, home, now)
         return None
 
     def second_copy(self, job: jobs.Job, now: float) -> Start | None:
--- a/vanilladrum/core/document.py
+++ b/vanilladrum/core/document.py
@@ -18,7 +18,7 @@
 T = typing.TypeVar("T")
 
 
-def _read_enum(value: object, kind: type) -> enum.Enum:
+def _read_enum(value: object, kind: type[enum.Enum]) -> enum.Enum:
     names = {_name(each): each for each in kind}
     if value in names:
         return names[value]
@@ -47,9 +47,9 @@
 _CONVERTER.register_unstructure_hook(addresses.Address, str)
 for _kind in (bool, int, float, str):
     _CONVERTER.register_structure_hook(_kind, _read_exact)
-for _kind in (fleets.Priority, fleets.Affinity, serverstate.ServerState):
-    _CONVERTER.register_structure_hook(_kind, _read_enum)
-    _CONVERTER.register_unstructure_hook(_kind, _name)
+for _choice in (fleets.Priority, fleets.Affinity, serverstate.ServerState):
+    _CONVERTER.register_structure_hook(_choice, _read_enum)
+    _CONVERTER.register_unstructure_hook(_choice, _name)
 for _class, _renamed in (
     (
         fleets.Service,
@@ -57,7 +57,7 @@
     ),
     (fleets.Fleet, {"services": "service", "keys": "key"}),
 ):
-    _overrides = {
+    _overrides: dict[str, typing.Any] = {
         name: gen.override(rename=renamed)
         for name, renamed in _renamed.items()
     }
--- a/vanilladrum/core/errors.py
+++ b/vanilladrum/core/errors.py
@@ -59,5 +59,9 @@
     """Changes since a revision are not known any more; list again."""
 
 
+class OutcomeError(VanilladrumError):
+    """A request with a final answer was asked for its job."""
+
+
 class HandOverError(VanilladrumError):
     """A request table could not be handed over."""
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -139,7 +139,7 @@
         """Forget the flows whose callers have given up."""
         for ends in self._ends.values():
             while ends and ends[0][0] <= now:
-                due = ends.popleft()[1]
+                due: OpenFlow = ends.popleft()[1]
                 if self.flows.get(due.key) is due:
                     self._drop(due.key)
 
--- a/vanilladrum/core/issuer.py
+++ b/vanilladrum/core/issuer.py
@@ -36,7 +36,7 @@
     membership: memberships.Membership
     clock: Clock
     rng: random.Random
-    keyring: tokens.Keyring | None = None
+    keyring: tokens.Keyring = attrs.field(factory=tokens.Keyring.empty)
     _pairs: dict[int, placement.Pair | None] = attrs.field(factory=dict)
     _pairs_version: int = -1
 
--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -6,34 +6,23 @@
 final: a host that was declared dead takes a new incarnation.
 """
 
-import enum
-import math
 import random
 
 import attrs
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import peers
+from vanilladrum.core import rounds
+from vanilladrum.core import rumours
+from vanilladrum.core import starts
+from vanilladrum.core import suspicions
 
-START_BYTES = 4
-START_SPAN = 2**32
-TICKS_A_SECOND = 100
-MAX_GOSSIP = 8
-RETRANSMIT_FACTOR = 3
 HELPERS = 2
+# Probes made for other hosts that are still awaited.
+MAX_RELAYED = 64
 PAUSE_PERIODS = 3.0
-HEARSAY_FACTOR = 2.0
-ROUNDS_AT_BASE = 3.0
 MAX_DEAD = 4096
-
-
-class State(enum.IntEnum):
-    """State of an incarnation; of equal refutations the higher wins."""
-
-    ALIVE = 0
-    LEAVING = 1
-    SUSPECT = 2
-    DEAD = 3
+State = starts.State
 
 
 @attrs.frozen
@@ -53,35 +42,6 @@
     reconnect: float = 2.0
 
 
-def first_start(wall: float) -> bytes:
-    """Return the start of a process that begins now.
-
-    :param wall: wall-clock seconds.
-    """
-    ticks = int(wall * TICKS_A_SECOND) % START_SPAN
-    return ticks.to_bytes(START_BYTES, "big")
-
-
-def following_start(start: bytes) -> bytes:
-    """Return the start after another one.
-
-    >>> following_start(bytes(4)).hex()
-    '00000001'
-    """
-    after = (int.from_bytes(start, "big") + 1) % START_SPAN
-    return after.to_bytes(START_BYTES, "big")
-
-
-def newer(one: bytes, other: bytes) -> bool:
-    """Return whether a start comes after another; the count wraps round.
-
-    >>> newer(b"\\0\\0\\0\\1", b"\\xff\\xff\\xff\\xff")
-    True
-    """
-    ahead = int.from_bytes(one, "big") - int.from_bytes(other, "big")
-    return 0 < ahead % START_SPAN < START_SPAN // 2
-
-
 @attrs.frozen
 class Datagram:
     """A message to send to a peer."""
@@ -90,12 +50,6 @@
     message: object
 
 
-@attrs.define
-class _Rumour:
-    member: peers.Member
-    left: int
-
-
 @attrs.define
 class _Probe:
     target: bytes
@@ -121,14 +75,13 @@
     generations: dict[bytes, int] = attrs.field(factory=dict)
     version: int = 0
     false_deaths: int = 0
-    _rumours: dict[bytes, _Rumour] = attrs.field(factory=dict)
+    _rumours: rumours.Rumours = attrs.field(factory=rumours.Rumours)
     _probe: _Probe | None = None
-    _suspects: dict[bytes, float] = attrs.field(factory=dict)
-    _accused: set[bytes] = attrs.field(factory=set)
+    _suspects: suspicions.Suspicions = attrs.field(init=False)
     _relayed: dict[int, tuple[addresses.Address, int]] = attrs.field(
         factory=dict
     )
-    _round: list[bytes] = attrs.field(factory=list)
+    _rounds: rounds.Rounds = attrs.field(init=False)
     _sequence: int = 0
     _next_probe: float = 0.0
     _last_tick: float = 0.0
@@ -137,17 +90,12 @@
 
     def __attrs_post_init__(self) -> None:
         self.own_incarnations.add(self.me.incarnation)
+        self._rounds = rounds.Rounds(self.rng)
+        self._suspects = suspicions.Suspicions(self.timing.suspicion)
 
     def alive(self) -> list[peers.Member]:
         """Return the hosts that may take work, this one included."""
-        found = [
-            member
-            for member in self.members.values()
-            if member.state in (State.ALIVE, State.SUSPECT)
-        ]
-        if self.me.state == State.ALIVE:
-            found.append(self.me)
-        return found
+        return self._among(State.ALIVE, State.SUSPECT)
 
     def trusted(self) -> list[peers.Member]:
         """Return the hosts that may dispatch: alive and not suspected.
@@ -155,10 +103,13 @@
         A suspicion costs a host its part before its death is certain: two
         dispatchers for a moment do less harm than one that is silent.
         """
+        return self._among(State.ALIVE)
+
+    def _among(self, *states: State) -> list[peers.Member]:
         found = [
             member
             for member in self.members.values()
-            if member.state == State.ALIVE
+            if member.state in states
         ]
         if self.me.state == State.ALIVE:
             found.append(self.me)
@@ -189,7 +140,7 @@
 
         :param after: start that the new one has to follow, ours if None.
         """
-        start = following_start(after or self.me.start)
+        start = starts.following_start(after or self.me.start)
         self._set_me(attrs.evolve(self.me, start=start, refutation=0))
         self._announcing = True
 
@@ -202,7 +153,7 @@
         """Return when :meth:`tick` is due next."""
         if self._announcing:
             return self._last_tick
-        due = [self._next_probe, *self._suspects.values()]
+        due = [self._next_probe, *self._suspects.due.values()]
         if self._probe and not self._probe.asked_helpers:
             due.append(self._probe.started + self.timing.probe_timeout)
         return min(due)
@@ -214,10 +165,7 @@
         if self._announcing:
             self._announcing = False
             sent.extend(self._announce())
-        for incarnation, due in list(self._suspects.items()):
-            if due > now:
-                continue
-            del self._suspects[incarnation]
+        for incarnation in self._suspects.take_due(now):
             self._change(incarnation, State.DEAD)
         probe = self._probe
         timeout = self.timing.probe_timeout
@@ -253,10 +201,7 @@
         if not paused:
             return
         self._probe = None
-        self._suspects = {
-            incarnation: due + gap
-            for incarnation, due in self._suspects.items()
-        }
+        self._suspects.postpone(gap)
 
     def receive(
         self, source: addresses.Address, message: object, now: float
@@ -277,7 +222,7 @@
         return []
 
     def _ack(self, ping: peers.Ping) -> peers.Ack:
-        gossip = self._gossip()
+        gossip = self._rumours.take()
         known = self.members.get(ping.sender.incarnation)
         if known and known.state in (State.DEAD, State.SUSPECT):
             gossip = (known, *self._newer_starts(known), *gossip)
@@ -288,14 +233,16 @@
             other
             for other in self.members.values()
             if other.number == member.number
-            and newer(other.start, member.start)
+            and starts.newer(other.start, member.start)
         ][-1:]
 
     def _acknowledged(self, ack: peers.Ack) -> list[Datagram]:
         relayed = self._relayed.pop(ack.sequence, None)
         if relayed:
             asker, sequence = relayed
-            answer = attrs.evolve(ack, sequence=sequence)
+            answer = peers.Ack(
+                sequence, ack.sender, ack.generation, ack.gossip
+            )
             return [Datagram(asker, answer)]
         if self._probe and self._probe.target == ack.sender.incarnation:
             self._probe = None
@@ -305,37 +252,24 @@
         self, source: addresses.Address, asked: peers.PingRequest
     ) -> Datagram:
         self._sequence += 1
-        while len(self._relayed) >= MAX_GOSSIP * MAX_GOSSIP:
+        while len(self._relayed) >= MAX_RELAYED:
             del self._relayed[next(iter(self._relayed))]
         self._relayed[self._sequence] = (source, asked.sequence)
         return Datagram(asked.target.address, self._ping(self._sequence))
 
     def _ping(self, sequence: int) -> peers.Ping:
-        return peers.Ping(sequence, self.me, self.generation, self._gossip())
+        return peers.Ping(
+            sequence, self.me, self.generation, self._rumours.take()
+        )
 
     def _start_probe(self, now: float) -> list[Datagram]:
-        target = self._next_target()
+        target = self._rounds.next(self.members)
         if target is None:
             return []
         self._sequence += 1
         self._probe = _Probe(target.incarnation, False, now)
         return [Datagram(target.address, self._ping(self._sequence))]
 
-    def _next_target(self) -> peers.Member | None:
-        while True:
-            if not self._round:
-                self._round = [
-                    incarnation
-                    for incarnation, member in self.members.items()
-                    if member.state != State.DEAD
-                ]
-                self.rng.shuffle(self._round)
-            if not self._round:
-                return None
-            member = self.members.get(self._round.pop())
-            if member and member.state != State.DEAD:
-                return member
-
     def _ask_helpers(self, probe: _Probe) -> list[Datagram]:
         target = self.members.get(probe.target)
         if target is None:
@@ -359,23 +293,16 @@
         if member is None or member.state >= State.SUSPECT:
             return
         self._change(probe.target, State.SUSPECT)
-        self._suspects[probe.target] = now + self._suspicion()
-        self._accused.add(probe.target)
-
-    def _suspicion(self) -> float:
-        """Return how long a suspicion lasts; rumours need log n periods."""
-        rounds = math.log2(len(self.members) + 1) / ROUNDS_AT_BASE
-        return self.timing.suspicion * max(1.0, rounds)
+        self._suspects.accuse(probe.target, now, len(self.members))
 
     def _warn_suspects(self) -> list[Datagram]:
         """Tell those that this host suspected itself, so they can refute."""
-        self._accused &= self._suspects.keys()
         sent = []
-        for incarnation in self._accused:
+        for incarnation in self._suspects.accused():
             suspect = self.members[incarnation]
             self._sequence += 1
-            ping = self._ping(self._sequence)
-            ping = attrs.evolve(ping, gossip=(suspect, *ping.gossip))
+            gossip = (suspect, *self._rumours.take())
+            ping = peers.Ping(self._sequence, self.me, self.generation, gossip)
             sent.append(Datagram(suspect.address, ping))
         return sent
 
@@ -409,32 +336,29 @@
             self._hear_of_me(heard)
             return
         known = self.members.get(heard.incarnation)
-        if known is not None and not _supersedes(heard, known):
+        if known is not None and not starts.supersedes(heard, known):
             return
         self._store(heard)
         if known is None:
             self._bury_older(heard)
         if heard.state == State.SUSPECT:
-            # The accuser decides first; hearers wait longer, so that a
-            # refutation overtakes the rumour.
-            due = now + HEARSAY_FACTOR * self._suspicion()
-            self._suspects.setdefault(heard.incarnation, due)
+            self._suspects.hear(heard.incarnation, now, len(self.members))
             return
-        self._suspects.pop(heard.incarnation, None)
+        self._suspects.clear(heard.incarnation)
 
     def _bury_older(self, heard: peers.Member) -> None:
         """Keep the newest start of a host only, whichever is heard last."""
         for member in list(self.members.values()):
             if member.number != heard.number or member.start == heard.start:
                 continue
-            if newer(heard.start, member.start):
+            if starts.newer(heard.start, member.start):
                 self.bury(member.incarnation)
             else:
                 self.bury(heard.incarnation)
 
     def _hear_of_me(self, heard: peers.Member) -> None:
         if heard.start != self.me.start:
-            if newer(heard.start, self.me.start):
+            if starts.newer(heard.start, self.me.start):
                 # The clock of this host's last start was ahead.
                 self.take_new_incarnation(after=heard.start)
             return
@@ -452,20 +376,20 @@
         self.me = me
         self.own_incarnations.add(me.incarnation)
         self.version += 1
-        self._spread(me)
+        self._rumours.add(me, len(self.members) + 1)
 
     def _change(self, incarnation: bytes, state: State) -> None:
         member = self.members.get(incarnation)
         if member is None:
             return
-        self._suspects.pop(incarnation, None)
+        self._suspects.clear(incarnation)
         self._store(attrs.evolve(member, state=int(state)))
 
     def _store(self, member: peers.Member) -> None:
         self.members.pop(member.incarnation, None)
         self.members[member.incarnation] = member
         self.version += 1
-        self._spread(member)
+        self._rumours.add(member, len(self.members) + 1)
         self._forget_dead()
 
     def _forget_dead(self) -> None:
@@ -476,26 +400,3 @@
                 del self.members[incarnation]
                 self.generations.pop(incarnation, None)
                 return
-
-    def _spread(self, member: peers.Member) -> None:
-        times = RETRANSMIT_FACTOR * (len(self.members) + 1).bit_length()
-        self._rumours[member.incarnation] = _Rumour(member, times)
-
-    def _gossip(self) -> tuple[peers.Member, ...]:
-        fresh_first = sorted(
-            self._rumours.values(), key=lambda rumour: -rumour.left
-        )
-        chosen = fresh_first[:MAX_GOSSIP]
-        for rumour in chosen:
-            rumour.left -= 1
-            if rumour.left <= 0:
-                del self._rumours[rumour.member.incarnation]
-        return tuple(rumour.member for rumour in chosen)
-
-
-def _supersedes(heard: peers.Member, known: peers.Member) -> bool:
-    if known.state == State.DEAD:
-        return False
-    if heard.state == State.DEAD:
-        return True
-    return (heard.refutation, heard.state) > (known.refutation, known.state)
--- a/vanilladrum/core/peers.py
+++ b/vanilladrum/core/peers.py
@@ -1,6 +1,8 @@
 """Messages between entry hosts."""
 
 from collections.abc import Callable
+from typing import dataclass_transform
+from typing import TypeVar
 
 import attrs
 
@@ -8,15 +10,18 @@
 
 # An IPv4 number fits, where hosts have no number of their own.
 NUMBER_BYTES = 4
+KIND = "kind"
 KINDS: dict[int, type] = {}
+Message = TypeVar("Message", bound=type)
 
 
-def message(kind: int) -> Callable[[type], type]:
+@dataclass_transform(frozen_default=True)
+def message(kind: int) -> Callable[[Message], Message]:
     """Register a message class under its number on the wire."""
 
-    def register(cls: type) -> type:
+    def register(cls: Message) -> Message:
         frozen = attrs.frozen(cls)
-        frozen.kind = kind
+        setattr(frozen, KIND, kind)
         KINDS[kind] = frozen
         return frozen
 
@@ -29,10 +34,10 @@
 
     :param number: number of the host, unique in the fleet.
     :param start: 4 bytes that grow with each start of the host; see
-        :func:`vanilladrum.core.membership.first_start`.
+        :func:`vanilladrum.core.starts.first_start`.
     :param address: peer endpoint, UDP and TCP.
     :param data_centre: name of its data centre.
-    :param state: see :class:`vanilladrum.core.membership.State`.
+    :param state: see :class:`vanilladrum.core.starts.State`.
     :param refutation: grows when the host refutes a suspicion.
     """
 
--- /dev/null
+++ b/vanilladrum/core/serving.py
@@ -0,0 +1,259 @@
+"""Requests that this host owns: recorded, admitted, settled."""
+
+from collections.abc import Callable
+import functools
+
+import attrs
+
+from vanilladrum.core import actions
+from vanilladrum.core import fleet as fleets
+from vanilladrum.core import hoststate
+from vanilladrum.core import job as jobs
+from vanilladrum.core import ownership
+from vanilladrum.core import peers
+from vanilladrum.core import request as requests
+from vanilladrum.core import table as tables
+from vanilladrum.core import token as tokens
+
+OWNER_GRACE_SECONDS = 5
+RECORD_RESEND_SECONDS = (0.03, 0.1)
+RECORD_TIMEOUT_SECONDS = 0.3
+FAILURES = (requests.Outcome.NOT_RUN, requests.Outcome.UNKNOWN)
+Stage = ownership.Stage
+Event = ownership.Event
+Effect = ownership.Effect
+
+
+@attrs.define(eq=False)
+class Serving:
+    """Leads each request of this host from its arrival to its outcome.
+
+    :param pump: gives free slots of a service to queued jobs, at a time.
+    """
+
+    state: hoststate.HostState
+    pump: Callable[[fleets.Service, float], None]
+
+    def serve(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+    ) -> None:
+        key = (token.connection, packet.request.exchange)
+        entry = self.state.table.find(key)
+        if entry is not None:
+            self._repeat(entry, packet, token)
+            return
+        now = self.state.clock.monotonic()
+        entry = tables.Entry(
+            key, token.owner, packet.path, packet.request.idempotent, now
+        )
+        if not self.state.table.add(entry, now):
+            self.state.counters["table_full"] += 1
+            return
+        entry.job = self._job(packet, service, token, now)
+        if packet.request.idempotent:
+            entry.stage = Stage.QUEUED
+            self._admit(entry, service)
+            return
+        if not self._may_own(service, token):
+            self.state.counters["not_dispatcher"] += 1
+            self._refuse(
+                entry,
+                self.state.issuer.renewal(packet.path.caller, service, token),
+            )
+            return
+        self.apply(entry, Event.ARRIVED, service)
+
+    def _job(
+        self,
+        packet: actions.CallerPacket,
+        service: fleets.Service,
+        token: tokens.Token,
+        now: float,
+    ) -> jobs.Job:
+        request = packet.request
+        wait = service.deadline
+        if request.deadline is not None:
+            wait = min(wait, request.deadline)
+        home = tokens.NO_SERVER
+        transfer = request.block is not None
+        if service.affinity == fleets.Affinity.CONNECTION or request.block:
+            home = token.home
+        return jobs.Job(
+            key=(token.connection, request.exchange),
+            request=request,
+            token=token,
+            priority=service.priority(request.path),
+            arrived=now,
+            due=now + wait,
+            home=home,
+            transfer=transfer,
+            caller=packet.path.caller,
+        )
+
+    def _may_own(self, service: fleets.Service, token: tokens.Token) -> bool:
+        if (
+            self.state.closing
+            or token.owner != self.state.membership.me.incarnation
+        ):
+            return False
+        if self.state.issuer.dispatches(service):
+            return True
+        # Views may differ for a moment; a fresh token is honoured.
+        age = self.state.clock.wall() - token.issued_at
+        return age <= OWNER_GRACE_SECONDS
+
+    def _repeat(
+        self,
+        entry: tables.Entry,
+        packet: actions.CallerPacket,
+        token: tokens.Token,
+    ) -> None:
+        self.state.counters["copies"] += 1
+        entry.path = packet.path
+        if entry.response is not None:
+            self.state.reply(packet, entry.response)
+
+    def apply(
+        self, entry: tables.Entry, event: Event, service: fleets.Service
+    ) -> None:
+        transition = ownership.advance(entry.stage, event)
+        entry.stage = transition.stage
+        if transition.effect == Effect.RECORD:
+            self._record(entry, service, 0)
+        elif transition.effect == Effect.ENQUEUE:
+            self._admit(entry, service)
+
+    def _record(
+        self, entry: tables.Entry, service: fleets.Service, tries: int
+    ) -> None:
+        if entry.stage != Stage.RECORDING:
+            return
+        job = entry.open_job
+        witness = job.token.witness
+        if witness == tokens.NO_HOST:
+            self.apply(entry, Event.RECORDED, service)
+            return
+        member = self.state.membership.find(witness)
+        silent = tries > len(RECORD_RESEND_SECONDS)
+        if silent or self.state.membership.is_lost(witness) or member is None:
+            self.state.counters["witness_silent"] += 1
+            entry.stage = ownership.advance(
+                entry.stage, Event.WITNESS_SILENT
+            ).stage
+            self.settle(
+                entry,
+                self.state.issuer.renewal(
+                    entry.path.caller, service, job.token
+                ),
+            )
+            return
+        message = peers.Record(job.token.owner, witness, *entry.key)
+        self.state.send_peer(member.address, message)
+        if tries < len(RECORD_RESEND_SECONDS):
+            wait = RECORD_RESEND_SECONDS[tries]
+        else:
+            wait = RECORD_TIMEOUT_SECONDS - sum(RECORD_RESEND_SECONDS)
+        self.state.later(
+            wait, functools.partial(self._record, entry, service, tries + 1)
+        )
+
+    def recorded(self, message: peers.Recorded) -> None:
+        entry = self.state.table.find((message.connection, message.exchange))
+        if entry is None or entry.owner != message.owner:
+            return
+        if entry.idempotent or entry.stage != Stage.RECORDING:
+            return
+        dispatcher = self.state.dispatch[entry.open_job.token.service]
+        if message.fenced:
+            self._fenced(entry, dispatcher.service)
+            return
+        self.apply(entry, Event.RECORDED, dispatcher.service)
+
+    def _fenced(self, entry: tables.Entry, service: fleets.Service) -> None:
+        """Give up an incarnation that a witness no longer records for.
+
+        Its tokens are of no more use, so that all callers are led to a new
+        one. The request was not dispatched and never will be.
+        """
+        self.state.counters["fenced"] += 1
+        if entry.owner == self.state.membership.me.incarnation:
+            self.state.membership.take_new_incarnation()
+        entry.stage = ownership.advance(entry.stage, Event.FENCED).stage
+        token = entry.open_job.token
+        self.settle(
+            entry, self.state.issuer.renewal(entry.path.caller, service, token)
+        )
+
+    def _admit(self, entry: tables.Entry, service: fleets.Service) -> None:
+        job = entry.open_job
+        now = self.state.clock.monotonic()
+        dispatcher = self.state.dispatch[service.number]
+        if not dispatcher.admits(job, now):
+            self.state.counters["shed"] += 1
+            self.drop(entry, service)
+            return
+        dispatcher.enqueue(job)
+        self.pump(service, now)
+        if not job.queued:
+            return
+        self.state.later(
+            max(0.0, job.due - now),
+            functools.partial(self._overdue, entry, service),
+        )
+
+    def _overdue(self, entry: tables.Entry, service: fleets.Service) -> None:
+        if entry.stage != Stage.QUEUED or not entry.open_job.queued:
+            return
+        self.state.counters["overdue"] += 1
+        self.state.dispatch[service.number].withdraw(entry.open_job)
+        self.drop(entry, service)
+
+    def drop(self, entry: tables.Entry, service: fleets.Service) -> None:
+        if entry.open_job.may_have_run:
+            self.leave_unknown(entry, service)
+            return
+        dispatcher = self.state.dispatch[service.number]
+        wait = dispatcher.queue_of(entry.open_job).expected_wait(
+            entry.open_job
+        )
+        self._refuse(
+            entry,
+            requests.Response(
+                requests.Outcome.NOT_RUN, retry_after=max(1.0, wait)
+            ),
+        )
+
+    def _refuse(
+        self, entry: tables.Entry, response: requests.Response
+    ) -> None:
+        entry.stage = ownership.advance(entry.stage, Event.DROPPED).stage
+        self.settle(entry, response)
+
+    def leave_unknown(
+        self, entry: tables.Entry, service: fleets.Service
+    ) -> None:
+        job = entry.open_job
+        entry.stage = Stage.UNKNOWN
+        token = self.state.issuer.refresh(
+            entry.path.caller, service, job.token, job.token.home
+        )
+        self.settle(
+            entry,
+            requests.Response(requests.Outcome.UNKNOWN, token=token),
+        )
+
+    def settle(self, entry: tables.Entry, response: requests.Response) -> None:
+        entry.response = response
+        job = entry.open_job
+        entry.job = None
+        job.finished = True
+        if self.state.on_failure and response.outcome in FAILURES:
+            service = self.state.dispatch[job.token.service].service
+            self.state.on_failure(service, job)
+        self.state.counters[f"told_{response.outcome.value}"] += 1
+        self.state.out.append(
+            actions.SendToCaller(entry.path, entry.key[1], response)
+        )
--- a/vanilladrum/core/table.py
+++ b/vanilladrum/core/table.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from vanilladrum.core import errors
+from vanilladrum.core import job as jobs
 from vanilladrum.core import ownership
 from vanilladrum.core import request as requests
 
@@ -33,7 +35,20 @@
     since: float
     stage: ownership.Stage = ownership.Stage.NEW
     response: requests.Response | None = None
-    job: object = None
+    job: jobs.Job | None = None
+
+    @property
+    def open_job(self) -> jobs.Job:
+        """Return the job of a request without a final answer.
+
+        :raises OutcomeError: when the answer is final.
+        """
+        if self.job is None:
+            raise errors.OutcomeError(
+                f"request {self.key[1].hex()} has its final answer; ask "
+                "for its response instead of its job"
+            )
+        return self.job
 
 
 @attrs.define
--- a/vanilladrum/core/token.py
+++ b/vanilladrum/core/token.py
@@ -12,6 +12,7 @@
 FORMAT_VERSION = 1
 TAG_BYTES = 8
 MIN_KEY_BYTES = 16
+NO_KEY = -1
 MAX_KEY_ID = 15
 NO_SERVER = 0
 HOST_BYTES = 8
@@ -96,6 +97,11 @@
             )
         return cls(by_id, active)
 
+    @classmethod
+    def empty(cls) -> "Keyring":
+        """Return the keyring before a configuration: it opens nothing."""
+        return cls({}, NO_KEY)
+
     def seal(self, token: Token, caller: addresses.Address) -> bytes:
         """Return the token with its authentication tag."""
         key = self.keys[self.active]
--- a/vanilladrum/daemons/sockets.py
+++ b/vanilladrum/daemons/sockets.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+import typing
 
 from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
 from vanilladrum.wire import udp
 
 Receiver = Callable[[bytes, addresses.Address], None]
@@ -19,15 +21,15 @@
         self.receive = receive
         self.transport: asyncio.DatagramTransport | None = None
 
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        self.transport = transport
+        self.transport = typing.cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, source: tuple) -> None:
         """Pass a datagram on."""
         self.receive(data, addresses.Address(source[0], source[1]))
 
-    def error_received(self, error: OSError) -> None:
+    def error_received(self, error: Exception) -> None:
         """Ignore an ICMP error; time-outs tell what it would."""
 
     def send(self, data: bytes, to: addresses.Address) -> None:
@@ -38,6 +40,8 @@
     @property
     def local(self) -> addresses.Address:
         """Return the address that the socket is bound to."""
+        if self.transport is None:
+            raise errors.SettingsError("socket is not open; open it first")
         host, port = self.transport.get_extra_info("sockname")[:2]
         return addresses.Address(host, port)
 
--- a/vanilladrum/operator/report.py
+++ b/vanilladrum/operator/report.py
@@ -176,8 +176,10 @@
     """Return the burn of all classes for a terminal."""
     shown = table.Table(title="service-level burn (1.00 uses the budget up)")
     for head in HEADS:
-        justify = "left" if head in ("class", "objective") else "right"
-        shown.add_column(head, justify=justify)
+        if head in ("class", "objective"):
+            shown.add_column(head)
+        else:
+            shown.add_column(head, justify="right")
     for row in _rows(classes, now):
         shown.add_row(*row)
     return shown
--- a/vanilladrum/plan.py
+++ b/vanilladrum/plan.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 import runpy
+import typing
 
 import attrs
 
@@ -86,7 +87,7 @@
         routes: Iterable[fleets.Route] = (),
         objectives: Iterable[fleets.Objective] = (),
         affinity: str = "request",
-        **limits: object,
+        **limits: typing.Any,
     ) -> None:
         """Add a service.
 
--- a/vanilladrum/standins/caller.py
+++ b/vanilladrum/standins/caller.py
@@ -78,6 +78,11 @@
         if self.endpoint is not None:
             self.endpoint.close()
 
+    def _send(self, datagram: bytes) -> None:
+        if self.endpoint is None:
+            raise errors.SettingsError("connection is closed; open it first")
+        self.endpoint.send(datagram, self.service)
+
     async def request(
         self,
         code: codes.Code,
@@ -110,9 +115,9 @@
             ending = await self.request(
                 codes.GET, path, block=number, deadline=deadline
             )
-            if ending.told != Told.ANSWERED:
-                return ending, body
             reply = ending.message
+            if ending.told != Told.ANSWERED or reply is None:
+                return ending, body
             if tag is not None and reply.opt.etag != tag:
                 self.counters["restarted_transfers"] += 1
                 body, number, tag = b"", 0, None
@@ -163,7 +168,7 @@
         timeout = self.ack_timeout * self.rng.uniform(1.0, 1.5)
         try:
             for sent in range(1, MAX_TRANSMISSIONS + 1):
-                self.endpoint.send(datagram, self.service)
+                self._send(datagram)
                 done, _ = await asyncio.wait([future], timeout=timeout)
                 if done:
                     return future.result(), sent
--- a/vanilladrum/standins/flow_caller.py
+++ b/vanilladrum/standins/flow_caller.py
@@ -99,7 +99,7 @@
     failures: list[str] = attrs.field(factory=list)
     next_port: int = FIRST_PORT
     waiting: dict[tuple, asyncio.Queue] = attrs.field(factory=dict)
-    endpoint: sockets.Endpoint | None = None
+    endpoint: sockets.Endpoint = attrs.field(init=False)
 
     async def start(self) -> None:
         """Listen."""
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -37,7 +37,7 @@
     opened_while_leaving: int = 0
     changed_packets: int = 0
     flows: dict[tuple, dict] = attrs.field(factory=dict)
-    endpoint: sockets.Endpoint | None = None
+    endpoint: sockets.Endpoint = attrs.field(init=False)
 
     async def start(self) -> None:
         """Listen."""
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -87,7 +87,7 @@
         if self.trouble is Trouble.BUSY:
             raise web.HTTPServiceUnavailable(text="{}")
         if self.trouble is Trouble.RESET:
-            request.transport.abort()
+            _abort(request)
         # Nobody is told when a silent call ends.
         await asyncio.Event().wait()
 
@@ -138,3 +138,8 @@
             for revision, of, plain, deleted in self.history
             if of == kind and revision > since
         ]
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/vanilladrum/standins/platform.py
+++ b/vanilladrum/standins/platform.py
@@ -113,7 +113,8 @@
             self.store.changed.notify_all()
         if self.store.lost_confirmations:
             self.store.lost_confirmations -= 1
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
         return web.json_response({"version": stored.version})
 
     async def list_hosts(self, _: web.Request) -> web.Response:
--- a/vanilladrum/wire/bulk.py
+++ b/vanilladrum/wire/bulk.py
@@ -64,8 +64,8 @@
         self, connection: server.ServerConnection, data: bytes | str
     ) -> None:
         try:
-            message = self.codec.decode(data)
-        except (errors.PacketError, TypeError):
+            message = self.codec.decode(_binary(data))
+        except errors.PacketError:
             await connection.close(REFUSED_CODE, "message refused")
             return
         reply = await self.answer(message)
@@ -89,7 +89,9 @@
                 f"ws://{address}", max_size=MAX_BYTES, compression=None
             ) as connection:
                 await connection.send(codec.encode(message))
-                return result.Ok(codec.decode(await connection.recv()))
+                return result.Ok(
+                    codec.decode(_binary(await connection.recv()))
+                )
     except (
         OSError,
         TimeoutError,
@@ -102,3 +104,13 @@
                 f"({type(error).__name__}); try another"
             )
         )
+
+
+def _binary(data: bytes | str) -> bytes:
+    """Return a binary message.
+
+    :raises PacketError: for a text message, which no entry host sends.
+    """
+    if isinstance(data, str):
+        raise errors.PacketError("malformed", "text message; send binary")
+    return data
--- a/vanilladrum/wire/peers.py
+++ b/vanilladrum/wire/peers.py
@@ -28,7 +28,7 @@
     def encode(self, message: object) -> bytes:
         """Return the datagram of a message."""
         fields = _to_plain(message)
-        body = cbor2.dumps([message.kind, *fields])
+        body = cbor2.dumps([getattr(message, peers.KIND), *fields])
         return self._tag(body) + body
 
     def decode(self, datagram: bytes) -> object:
@@ -100,7 +100,7 @@
     )
 
 
-def _typed(hint: object, value: object) -> object:
+def _typed(hint: typing.Any, value: typing.Any) -> object:
     if hint is addresses.Address:
         return addresses.unpack(value)
     if isinstance(hint, types.UnionType):
--- a/vanilladrum/wire/platform.py
+++ b/vanilladrum/wire/platform.py
@@ -1,6 +1,7 @@
 """Client of the platform's object API, with a count of its calls."""
 
 import json
+import typing
 
 import aiohttp
 import attrs
@@ -105,7 +106,7 @@
         return Object(body["version"], body["value"])
 
     async def _call(
-        self, method: str, path: str, timeout: float, **extra: object
+        self, method: str, path: str, timeout: float, **extra: typing.Any
     ) -> tuple[int, dict]:
         if self._session is None:
             self._session = aiohttp.ClientSession()
--- a/vanilladrum/wire/tunnel.py
+++ b/vanilladrum/wire/tunnel.py
@@ -3,6 +3,7 @@
 import functools
 import ipaddress
 import socket
+import typing
 
 import proxyprotocol
 from proxyprotocol import result as proxy_results
@@ -21,7 +22,7 @@
 def header(source: addresses.Address, destination: addresses.Address) -> bytes:
     """Return the header for a datagram from ``source``."""
     source_number = ipaddress.ip_address(source.host)
-    kind = proxy_results.ProxyResultIPv4
+    kind: typing.Any = proxy_results.ProxyResultIPv4
     if source_number.version == 6:
         kind = proxy_results.ProxyResultIPv6
     return _PROTOCOL.pack(
