--- a/bench/policies.py
+++ b/bench/policies.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from bench import emulator
 from vanilladrum.core import address as addresses
 from vanilladrum.core import dispatcher as dispatchers
 from vanilladrum.core import fleet as fleets
@@ -22,22 +23,11 @@
 from vanilladrum.core import request as requests
 from vanilladrum.core import token as tokens
 
-HOSTS = 7
 HOP_SECONDS = 0.0005
-SERVICE_SECONDS = 0.02
-STRAGGLER_RATIO = 0.02
-STRAGGLER_FACTOR = 20
-BULK_RATIO = 0.05
-BULK_FACTOR = 4
-SWING_SECONDS = 5.0
-CREST_SECONDS = 1.0
-CREST_LOAD = 0.9
-SWING_FACTOR = 10
 DIGEST_SECONDS = 0.1
 DIGEST_BYTES = 70
 LEASE_BYTES = 40
 LEASE_RETRY_SECONDS = 0.01
-SECONDS = 120.0
 SEEDS = (1, 2, 3)
 SETUPS = {"Cooperativa 7 x 2 slots": (7, 2), "Filzwerk 7 x 3 slots": (7, 3)}
 WAYS: dict[str, Callable] = {}
@@ -53,108 +43,13 @@
     return register
 
 
-@attrs.define(eq=False)
-class Work:
-    """A request with the time that it will run."""
-
-    arrived: float
-    seconds: float
-    bulk: bool
-    host: int
-    crest: bool
-    started: float = 0.0
-    ended: float = 0.0
-    job: jobs.Job | None = None
-
-
-def arrivals(seed: int, slots: int) -> list[Work]:
-    """Return the work of one run; demand swings tenfold."""
-    rng = random.Random(seed)
-    mean = SERVICE_SECONDS * (
-        1
-        - STRAGGLER_RATIO
-        - BULK_RATIO
-        + STRAGGLER_RATIO * STRAGGLER_FACTOR
-        + BULK_RATIO * BULK_FACTOR
-    )
-    peak = CREST_LOAD * slots / mean
-    found = []
-    now = 0.0
-    while now < SECONDS:
-        crest = now % SWING_SECONDS >= SWING_SECONDS - CREST_SECONDS
-        rate = peak if crest else peak / SWING_FACTOR
-        now += rng.expovariate(rate)
-        draw = rng.random()
-        seconds = SERVICE_SECONDS * rng.uniform(0.8, 1.2)
-        bulk = draw >= 1 - BULK_RATIO
-        if draw < STRAGGLER_RATIO:
-            seconds *= STRAGGLER_FACTOR
-        if bulk:
-            seconds *= BULK_FACTOR
-        found.append(Work(now, seconds, bulk, rng.randrange(HOSTS), crest))
-    return found
-
-
-@attrs.define(eq=False)
-class Server:
-    """Slots and, for the ways that allow it, a queue at the server."""
-
-    number: int
-    slots: int
-    running: int = 0
-    queue: collections.deque = attrs.field(factory=collections.deque)
-
-
-@attrs.define(eq=False)
-class Run:
-    """Virtual time and the servers of one run."""
-
-    servers: list[Server]
-    rng: random.Random
-    now: float = 0.0
-    over_slots: int = 0
-    control_bytes: int = 0
-    _events: list = attrs.field(factory=list)
-    _order: itertools.count = attrs.field(factory=itertools.count)
-
-    def later(self, wait: float, action: Callable[[], None]) -> None:
-        """Run an action after some seconds."""
-        entry = (self.now + wait, next(self._order), action)
-        heapq.heappush(self._events, entry)
-
-    def play(self, work: list[Work], way: object) -> None:
-        """Feed all work to a way and run until nothing is left."""
-        for each in work:
-            self.later(each.arrived, lambda each=each: way.arrive(each))
-        left = len(work)
-        while self._events and left:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-            left = len(work) - self.finished
-
-    finished: int = 0
-
-    def begin(self, work: Work, server: Server, way: object) -> None:
-        """Start work on a server's slot."""
-        server.running += 1
-        work.started = self.now
-
-        def end() -> None:
-            server.running -= 1
-            work.ended = self.now
-            self.finished += 1
-            way.ended(work, server)
-
-        self.later(work.seconds, end)
-
-
 @attrs.define(eq=False)
 class QueueAtServer:
     """Base of the ways that choose at once and queue at the server."""
 
-    run: Run
+    run: emulator.Run
 
-    def arrive(self, work: Work) -> None:
+    def arrive(self, work: emulator.Work) -> None:
         """Send work to the chosen server at once."""
         server = self.choose(work)
         if server.running < server.slots:
@@ -163,7 +58,7 @@
         self.run.over_slots += 1
         server.queue.append(work)
 
-    def ended(self, work: Work, server: Server) -> None:
+    def ended(self, work: emulator.Work, server: emulator.Server) -> None:
         """Start what waits at the server."""
         if server.queue:
             self.run.begin(server.queue.popleft(), server, self)
@@ -174,7 +69,7 @@
 class Random(QueueAtServer):
     """Any server."""
 
-    def choose(self, work: Work) -> Server:
+    def choose(self, work: emulator.Work) -> emulator.Server:
         """Choose at random."""
         return self.run.rng.choice(self.run.servers)
 
@@ -184,9 +79,9 @@
 class RoundRobin(QueueAtServer):
     """Each host in its own turn."""
 
-    turns: list[int] = attrs.field(factory=lambda: list(range(HOSTS)))
+    turns: list[int] = attrs.field(factory=lambda: list(range(emulator.HOSTS)))
 
-    def choose(self, work: Work) -> Server:
+    def choose(self, work: emulator.Work) -> emulator.Server:
         """Choose the next server of this host."""
         self.turns[work.host] += 1
         return self.run.servers[self.turns[work.host] % len(self.run.servers)]
@@ -206,23 +101,25 @@
     def digest(self) -> None:
         """Send every host's counts to every other host."""
         self.told = collections.Counter(self.own)
-        self.run.control_bytes += HOSTS * (HOSTS - 1) * DIGEST_BYTES
+        self.run.control_bytes += (
+            emulator.HOSTS * (emulator.HOSTS - 1) * DIGEST_BYTES
+        )
         self.run.later(DIGEST_SECONDS, self.digest)
 
-    def choose(self, work: Work) -> Server:
+    def choose(self, work: emulator.Work) -> emulator.Server:
         """Choose the less loaded of two."""
         two = self.run.rng.sample(self.run.servers, 2)
         chosen = min(two, key=lambda server: self.load(work.host, server))
         self.own[work.host, chosen.number] += 1
         return chosen
 
-    def load(self, host: int, server: Server) -> int:
+    def load(self, host: int, server: emulator.Server) -> int:
         """Return what a host believes a server holds."""
-        others = (each for each in range(HOSTS) if each != host)
+        others = (each for each in range(emulator.HOSTS) if each != host)
         told = sum(self.told[each, server.number] for each in others)
         return self.own[host, server.number] + told
 
-    def ended(self, work: Work, server: Server) -> None:
+    def ended(self, work: emulator.Work, server: emulator.Server) -> None:
         """Count down."""
         self.own[work.host, server.number] -= 1
         QueueAtServer.ended(self, work, server)
@@ -233,18 +130,22 @@
 class Leases:
     """Each slot is held by one host; peers give idle ones away."""
 
-    run: Run
-    idle: list = attrs.field(factory=lambda: [[] for _ in range(HOSTS)])
-    queues: list = attrs.field(factory=lambda: [[] for _ in range(HOSTS)])
+    run: emulator.Run
+    idle: list = attrs.field(
+        factory=lambda: [[] for _ in range(emulator.HOSTS)]
+    )
+    queues: list = attrs.field(
+        factory=lambda: [[] for _ in range(emulator.HOSTS)]
+    )
     asking: set = attrs.field(factory=set)
     order: itertools.count = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
         slots = [s for s in self.run.servers for _ in range(s.slots)]
         for number, server in enumerate(slots):
-            self.idle[number % HOSTS].append(server)
+            self.idle[number % emulator.HOSTS].append(server)
 
-    def arrive(self, work: Work) -> None:
+    def arrive(self, work: emulator.Work) -> None:
         """Queue at the host; ask a peer when no slot is idle."""
         rank = work.arrived + (0.5 if work.bulk else 0.0)
         heapq.heappush(self.queues[work.host], (rank, next(self.order), work))
@@ -261,7 +162,9 @@
 
     def ask(self, host: int) -> None:
         """Ask a random peer for an idle slot."""
-        peer = self.run.rng.choice([h for h in range(HOSTS) if h != host])
+        peer = self.run.rng.choice(
+            [h for h in range(emulator.HOSTS) if h != host]
+        )
         self.run.control_bytes += LEASE_BYTES
         self.run.later(HOP_SECONDS, lambda: self.give(peer, host))
 
@@ -273,7 +176,7 @@
             given = self.idle[peer].pop()
         self.run.later(HOP_SECONDS, lambda: self.taken(host, given))
 
-    def taken(self, host: int, server: Server | None) -> None:
+    def taken(self, host: int, server: emulator.Server | None) -> None:
         """Use a slot that was given, or ask again later."""
         if server is not None:
             self.idle[host].append(server)
@@ -291,7 +194,7 @@
             return
         self.asking.discard(host)
 
-    def ended(self, work: Work, server: Server) -> None:
+    def ended(self, work: emulator.Work, server: emulator.Server) -> None:
         """The slot stays with the host that used it."""
         self.idle[work.host].append(server)
         self.pump(work.host)
@@ -301,7 +204,7 @@
 class Shipped:
     """The shipped dispatcher, some hops away."""
 
-    run: Run
+    run: emulator.Run
     hop: float
     dispatcher: dispatchers.Dispatcher = attrs.field(init=False)
 
@@ -326,12 +229,12 @@
         self.dispatcher = dispatchers.Dispatcher(service, self.run.rng)
         self.dispatcher.configure(service, 0.0)
 
-    def arrive(self, work: Work) -> None:
+    def arrive(self, work: emulator.Work) -> None:
         """Forward to the dispatcher, unless the host is the dispatcher."""
         wait = self.hop if work.host else 0.0
         self.run.later(wait, lambda: self.queue(work))
 
-    def queue(self, work: Work) -> None:
+    def queue(self, work: emulator.Work) -> None:
         """Queue at the dispatcher."""
         priority = fleets.Priority.BULK if work.bulk else 0
         job = jobs.Job(
@@ -355,7 +258,7 @@
                 self.run.over_slots += 1
             self.run.begin(start.job.caller, server, self)
 
-    def ended(self, work: Work, server: Server) -> None:
+    def ended(self, work: emulator.Work, server: emulator.Server) -> None:
         """Free the slot."""
         self.dispatcher.release(server.number + 1)
         self.dispatcher.answered(work.job, server.number + 1, work.seconds)
@@ -363,13 +266,13 @@
 
 
 @way("dispatcher (shipped)")
-def shipped(run: Run) -> Shipped:
+def shipped(run: emulator.Run) -> Shipped:
     """Build the shipped way."""
     return Shipped(run, HOP_SECONDS)
 
 
 @way("ideal single queue")
-def ideal(run: Run) -> Shipped:
+def ideal(run: emulator.Run) -> Shipped:
     """Build the queue that knows everything at once."""
     return Shipped(run, 0.0)
 
@@ -382,10 +285,10 @@
 
 
 def measure(name: str, count: int, slots: int, seed: int) -> list[float]:
-    """Run one way once and return its row of figures."""
-    work = arrivals(seed, count * slots)
-    servers = [Server(number, slots) for number in range(count)]
-    run = Run(servers, random.Random(seed))
+    """emulator.Run one way once and return its row of figures."""
+    work = emulator.arrivals(seed, count * slots)
+    servers = [emulator.Server(number, slots) for number in range(count)]
+    run = emulator.Run(servers, random.Random(seed))
     run.play(work, WAYS[name](run))
     short = [w.started - w.arrived for w in work if not w.bulk]
     crest = [w.started - w.arrived for w in work if not w.bulk and w.crest]
@@ -398,7 +301,7 @@
         quantile(bulk, 0.5),
         quantile(bulk, 0.99),
         1000 * run.over_slots / len(work),
-        run.control_bytes / HOSTS / SECONDS,
+        run.control_bytes / emulator.HOSTS / emulator.SECONDS,
     ]
 
 
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -8,6 +8,7 @@
 from model import flows
 from model import generations
 from model import ownership
+from model import ownership_mutants
 
 MAX_STATES = 2_000_000
 MUTANT_STATES = 400_000
@@ -62,7 +63,7 @@
         check(ownership.protocol(2, shipped)),
         check_liveness(ownership.protocol(1, shipped)),
     ]
-    for rules in (*ownership.MUTANTS, ownership.SILENT_MUTANT):
+    for rules in (*ownership_mutants.MUTANTS, ownership_mutants.SILENT_MUTANT):
         requests = 2 if rules.breaks == "answer_belongs" else 1
         mutant = ownership.protocol(requests, rules)
         results.append(catches(mutant, rules.breaks))
--- /dev/null
+++ b/tests/stored.py
@@ -0,0 +1,44 @@
+"""Objects as the platform's store has them."""
+
+from vanilladrum.platform import objects
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "bilbao",
+    "version": "v1",
+    "max-concurrency": 2,
+    "state": "ready",
+    "warmup-left-ms": 1500,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "path-prefix": "/8080/",
+            "timeout-ms": 600,
+            "service": "huvo11a",
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.1",
+            "path-prefix": "/8443/",
+            "timeout-ms": 500,
+            "backends": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "huvo11a", "health-check-path": "/health"}],
+    "limits": {"idle-timeout-ms": 15000},
+}
+
+
+def item(name, content, revision=1, deleted=False):
+    plain = {"meta": {"name": name, "revision": revision}, "spec": content}
+    return objects.stored(plain, deleted)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -7,6 +7,7 @@
 from model import flows
 from model import generations
 from model import ownership
+from model import ownership_mutants
 
 
 def test_shipped_rules_hold_for_one_request():
@@ -27,7 +28,10 @@
     "rules",
     [
         rules
-        for rules in (*ownership.MUTANTS, ownership.SILENT_MUTANT)
+        for rules in (
+            *ownership_mutants.MUTANTS,
+            ownership_mutants.SILENT_MUTANT,
+        )
         if rules.breaks != "answer_belongs"
     ],
     ids=lambda rules: rules.name,
