--- a/model/__main__.py
+++ b/model/__main__.py
@@ -63,7 +63,7 @@
         check(ownership.protocol(2, shipped)),
         check_liveness(ownership.protocol(1, shipped)),
     ]
-    for rules in (*ownership_mutants.MUTANTS, ownership_mutants.SILENT_MUTANT):
+    for rules in ownership_mutants.ALL:
         requests = 2 if rules.breaks == "answer_belongs" else 1
         mutant = ownership.protocol(requests, rules)
         results.append(catches(mutant, rules.breaks))
--- a/model/ownership_mutants.py
+++ b/model/ownership_mutants.py
@@ -87,3 +87,4 @@
 SILENT_MUTANT = models.Rules(
     "silent_when_both_lost", "liveness", tells_when_both_lost=False
 )
+ALL = (*MUTANTS, SILENT_MUTANT)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -28,10 +28,7 @@
     "rules",
     [
         rules
-        for rules in (
-            *ownership_mutants.MUTANTS,
-            ownership_mutants.SILENT_MUTANT,
-        )
+        for rules in ownership_mutants.ALL
         if rules.breaks != "answer_belongs"
     ],
     ids=lambda rules: rules.name,
--- a/vanilladrum/core/membership.py
+++ b/vanilladrum/core/membership.py
@@ -225,17 +225,9 @@
         gossip = self._rumours.take()
         known = self.members.get(ping.sender.incarnation)
         if known and known.state in (State.DEAD, State.SUSPECT):
-            gossip = (known, *self._newer_starts(known), *gossip)
+            gossip = (known, *starts.following(known, self.members), *gossip)
         return peers.Ack(ping.sequence, self.me, self.generation, gossip)
 
-    def _newer_starts(self, member: peers.Member) -> list[peers.Member]:
-        return [
-            other
-            for other in self.members.values()
-            if other.number == member.number
-            and starts.newer(other.start, member.start)
-        ][-1:]
-
     def _acknowledged(self, ack: peers.Ack) -> list[Datagram]:
         relayed = self._relayed.pop(ack.sequence, None)
         if relayed:
--- a/vanilladrum/core/starts.py
+++ b/vanilladrum/core/starts.py
@@ -54,3 +54,14 @@
     if heard.state == State.DEAD:
         return True
     return (heard.refutation, heard.state) > (known.refutation, known.state)
+
+
+def following(
+    member: peers.Member, members: dict[bytes, peers.Member]
+) -> list[peers.Member]:
+    """Return the latest known start of a host after this one, if any."""
+    return [
+        other
+        for other in members.values()
+        if other.number == member.number and newer(other.start, member.start)
+    ][-1:]
