Pass configurations on between entry hosts, packed

Cause: every host watched the configuration at the store.

Ruled out: handing on only the word that there is something new (each host would still call once a change).

Done: hosts follow the configuration where they follow the servers. The reason against it was the size (380 kB on links of 5 Mbit/s): answers of a mirror above one packet are packed by zlib, made once for all that ask the same, and only the last change of an object is kept. A host that hears of a newer configuration and does not get it lists it at the store.

The test of the bounded history uses different objects now, since changes of one object count once; a new test says so.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import zlib
 
 import pytest
 
@@ -185,14 +186,45 @@
     mirror, client = mirrored
     mirror.listed("servers", stores.Listing((), 10))
     for revision in (11, 12, 13, 14):
-        change = stores.Changes((stored.item("i-1", stored.ENTRY),), revision)
-        mirror.changed("servers", change)
+        change = stored.item(f"i-{revision}", stored.ENTRY, revision)
+        mirror.changed("servers", stores.Changes((change,), revision))
     outcome = outcome_of(client, client.watch, "servers", 11, 0.1)
     assert type(outcome) is errors.HistoryGoneError
     found = outcome_of(client, client.watch, "servers", 12, 0.1)
     assert len(found.objects) == 2
 
 
+def test_mirror_keeps_the_last_change_of_an_object_only(mirrored):
+    mirror, client = mirrored
+    mirror.listed("servers", stores.Listing((), 10))
+    for revision in range(11, 60):
+        change = stored.item("i-1", stored.ENTRY, revision)
+        mirror.changed("servers", stores.Changes((change,), revision))
+    found = outcome_of(client, client.watch, "servers", 10, 0.1)
+    assert [each.revision for each in found.objects] == [59]
+    assert found.revision == 59
+
+
+def test_large_answer_of_a_mirror_is_packed(mirrored):
+    """A configuration of 380 kB has to pass links of 5 Mbit/s."""
+    mirror, client = mirrored
+    routes = [{"name": f"r-{n}", "host": f"198.18.0.{n}"} for n in range(250)]
+    large = stored.item("main", {"version": 7, "routes": routes})
+    mirror.listed("config", stores.Listing((large,), 10))
+    sent = []
+    mirror.handle(httpd.Request("/config", "", sent.append))
+    assert len(sent[0].encode()) < len(json.dumps(large.plain)) / 4
+    listing = outcome_of(client, client.list, "config")
+    assert listing.objects[0].plain == large.plain
+
+
+def test_packed_answer_that_grows_without_bound_is_an_error(fake):
+    bomb = zlib.compress(bytes(stores.MAX_UNPACKED_BYTES + 1))
+    fake.answers = [httpd.Answer(200, bomb, packed=True)]
+    outcome = fake.outcome(fake.client.list, "servers")
+    assert type(outcome) is errors.PlatformError
+
+
 def test_mirror_ends_a_wait_with_an_empty_answer(mirrored):
     mirror, client = mirrored
     mirror.listed("servers", stores.Listing((), 10))
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -233,7 +233,7 @@
 
 
 def make_sources(newest, away):
-    """Return sources of a host behind others; restarts are counted."""
+    """Return sources of a host behind others, and whom it asks anew."""
     loop = loops.Loop()
     view = make_view(1, {2: make_digest(generation=newest)}, loop.now())
     log = lines.EventLog(lines.LineWriter(1), {})
@@ -247,9 +247,10 @@
     follower = store_follower.Follower(
         found, objects.CONFIGURATION_KIND, print, print
     )
-    restarts = []
-    follower.restart = lambda: restarts.append(1)
-    return found, restarts
+    asked = []
+    follower.restart = lambda: asked.append("followed host")
+    follower.list_at_store = lambda: asked.append("store")
+    return found, asked
 
 
 def hear_later(sources):
@@ -259,19 +260,30 @@
     return later
 
 
+def test_configuration_comes_from_the_followed_host():
+    """A watch of each host at the store costs a call a host and change."""
+    sources, _ = make_sources(newest=7, away=False)
+    assert sources.source().at == host_at(2)
+    sources.following = None
+    assert sources.source().at == host_at(9)
+
+
 @pytest.mark.parametrize("away", [False, True])
 def test_configuration_that_is_arriving_is_not_asked_for_again(away):
-    """From the store, and from another host while the store is away."""
-    sources, restarts = make_sources(newest=7, away=away)
+    sources, asked = make_sources(newest=7, away=away)
     later = hear_later(sources)
-    sources.source(objects.CONFIGURATION_KIND).receiving = lambda: True
+    sources.source().receiving = lambda: True
     sources._catch_up(later)
-    assert restarts == []
+    assert asked == []
 
 
-def test_configuration_that_others_have_is_asked_for_again():
-    sources, restarts = make_sources(newest=7, away=False)
+@pytest.mark.parametrize(
+    "away,whom", [(False, "store"), (True, "followed host")]
+)
+def test_configuration_that_others_have_is_asked_for(away, whom):
+    """Of the store itself: the followed host may not pass it on."""
+    sources, asked = make_sources(newest=7, away=away)
     sources._catch_up(sources.loop.now())
-    assert restarts == []
+    assert asked == []
     sources._catch_up(hear_later(sources))
-    assert restarts == [1]
+    assert asked == [whom]
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -142,14 +142,9 @@
         contact.on_regained = self._restart
         contact.wanted = True
 
-    def source(self, kind: str) -> stores.Store:
-        """Return what is asked for a kind now.
-
-        Each host takes the configuration from the store: it changes seldom,
-        and a large one would fill the links of the hosts that pass it on.
-        """
-        alone = kind == objects.CONFIGURATION_KIND and not self.contact.away
-        if self.following is None or alone:
+    def source(self) -> stores.Store:
+        """Return what is asked for a kind now."""
+        if self.following is None:
             return self.contact.store
         if self.following not in self._peers:
             self._peers[self.following] = stores.Store(
@@ -241,15 +236,19 @@
             (self.known.digest(host).generation for host in heard),
             default=0,
         )
-        source = self.source(objects.CONFIGURATION_KIND)
+        source = self.source()
         if newest <= self.generation() or source.receiving():
             self._behind = now
         elif now - self._behind > LAG_SECONDS:
             self._behind = now
             self.contact.log.event("configuration behind", newest=newest)
             for follower in self.followers:
-                if follower.kind == objects.CONFIGURATION_KIND:
+                if follower.kind != objects.CONFIGURATION_KIND:
+                    continue
+                if self.contact.away:
                     follower.restart()
+                else:
+                    follower.list_at_store()
 
     def _restart(self) -> None:
         for follower in self.followers:
@@ -291,7 +290,13 @@
         self._cancel()
         self._ask()
 
-    def _ask(self) -> None:
+    def list_at_store(self) -> None:
+        """List anew at the store itself, whomever this host follows."""
+        self._cancel()
+        self._relist = True
+        self._ask(self.sources.contact.store)
+
+    def _ask(self, at: stores.Store | None = None) -> None:
         # Whatever an earlier round still has to say is not heard any more.
         self._round += 1
         current = self._round
@@ -300,7 +305,7 @@
             if current == self._round:
                 self._answered(outcome)
 
-        source = self.sources.source(self.kind)
+        source = at or self.sources.source()
         self._source = source
         if self._relist or self.revision is None:
             self._cancel = _nothing
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -5,17 +5,25 @@
 """
 
 import collections
+from collections.abc import Callable
 import json
 from urllib import parse
+import zlib
 
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
 
-# Changes kept for hosts that ask what they missed; about a minute of a
-# rolling replacement of a large data centre.
+# Changed objects kept for hosts that ask what they missed; about a minute of
+# a rolling replacement of a large data centre.
 MAX_HISTORY = 2000
+# Answers above so many bytes are packed: what fits one packet gains nothing.
+PACK_BYTES = 1400
+# The fastest level: an entry host may have a sixth of a core.
+PACK_LEVEL = 1
+# Answers kept for other hosts that ask the same.
+MAX_ANSWERS = 16
 _MS = 0.001
 _GONE = httpd.Answer(410)
 _ABSENT = httpd.Answer(404)
@@ -25,21 +33,77 @@
     """Objects of one kind and their last changes.
 
     :param complete_from: revision since which no change is missing.
+    :param history: the last change of each object, oldest first: revision,
+        plain object and whether it is gone.
     """
 
     def __init__(self) -> None:
         self.plain: dict[str, dict] = {}
         self.revision: int | None = None
         self.complete_from = 0
-        self.history: collections.deque = collections.deque()
+        self.history: dict[str, tuple[int, dict, bool]] = {}
         self.waiting: list[_Waiting] = []
-
-    def changes(self, revision: int) -> list[dict]:
-        return [
+        self._answers: dict[int | None, httpd.Answer] = {}
+
+    def note(self, revision: int, changed: objects.Stored) -> None:
+        """Take in a change."""
+        if changed.deleted:
+            self.plain.pop(changed.name, None)
+        else:
+            self.plain[changed.name] = changed.plain
+        self.history.pop(changed.name, None)
+        entry = (revision, changed.plain, changed.deleted)
+        self.history[changed.name] = entry
+        while len(self.history) > MAX_HISTORY:
+            oldest = next(iter(self.history))
+            self.complete_from, _, _ = self.history.pop(oldest)
+
+    def forget_answers(self) -> None:
+        """Make answers anew from now on."""
+        self._answers.clear()
+
+    def changed_after(self, revision: int) -> bool:
+        """Return whether a watch from a revision has something to tell."""
+        if not self.history:
+            return False
+        newest = next(reversed(self.history.values()))
+        return newest[0] > revision
+
+    def listing(self) -> httpd.Answer:
+        """Return all objects."""
+        return self._answer(None, self._plain_listing)
+
+    def changes(self, revision: int) -> httpd.Answer:
+        """Return what has changed after a revision."""
+        return self._answer(revision, lambda: self._plain_changes(revision))
+
+    def _answer(
+        self, asked: int | None, make: Callable[[], dict]
+    ) -> httpd.Answer:
+        """Return an answer; many hosts ask the same at the same time."""
+        if asked not in self._answers:
+            while len(self._answers) >= MAX_ANSWERS:
+                del self._answers[next(iter(self._answers))]
+            self._answers[asked] = _encode(make())
+        return self._answers[asked]
+
+    def _plain_listing(self) -> dict:
+        return {
+            "items": list(self.plain.values()),
+            "has-more": False,
+            "store-revision": self.revision,
+        }
+
+    def _plain_changes(self, revision: int) -> dict:
+        events = [
             {"object": plain, "deleted": deleted}
-            for at, plain, deleted in self.history
+            for at, plain, deleted in self.history.values()
             if at > revision
         ]
+        return {
+            "events": events,
+            "store-revision": max(self.revision or 0, revision),
+        }
 
 
 class _Waiting:
@@ -71,6 +135,7 @@
         known.revision = listing.revision
         known.complete_from = listing.revision
         known.history.clear()
+        known.forget_answers()
         for waiting in known.waiting:
             waiting.request.answer(_GONE)
         known.waiting.clear()
@@ -79,15 +144,9 @@
         """Take in changes."""
         known = self.kinds[kind]
         for each in changes.objects:
-            if each.deleted:
-                known.plain.pop(each.name, None)
-            else:
-                known.plain[each.name] = each.plain
-            entry = (changes.revision, each.plain, each.deleted)
-            known.history.append(entry)
-        while len(known.history) > MAX_HISTORY:
-            known.complete_from, _, _ = known.history.popleft()
+            known.note(changes.revision, each)
         known.revision = changes.revision
+        known.forget_answers()
         if changes.objects:
             self._tell(known)
 
@@ -100,7 +159,7 @@
             return
         query = parse.parse_qs(request.query)
         if "watch" not in query:
-            request.answer(_listing(known))
+            request.answer(known.listing())
             return
         try:
             revision = int(query["watch"][0])
@@ -111,8 +170,8 @@
         if revision < known.complete_from:
             request.answer(_GONE)
             return
-        if known.changes(revision):
-            request.answer(_changes(known, revision))
+        if known.changed_after(revision):
+            request.answer(known.changes(revision))
             return
         until = self.loop.now() + wait
         known.waiting.append(_Waiting(request, revision, until))
@@ -124,13 +183,13 @@
             for waiting in list(known.waiting):
                 if waiting.until <= now:
                     known.waiting.remove(waiting)
-                    waiting.request.answer(_changes(known, waiting.revision))
+                    waiting.request.answer(known.changes(waiting.revision))
 
     def _tell(self, known: _Kind) -> None:
         waiting, known.waiting = known.waiting, []
         for each in waiting:
-            if known.changes(each.revision):
-                each.request.answer(_changes(known, each.revision))
+            if known.changed_after(each.revision):
+                each.request.answer(known.changes(each.revision))
             else:
                 known.waiting.append(each)
 
@@ -141,18 +200,8 @@
     return {f"{stores.OBJECTS}/{kind}": mirror.handle for kind in kinds}
 
 
-def _listing(known: _Kind) -> httpd.Answer:
-    plain = {
-        "items": list(known.plain.values()),
-        "has-more": False,
-        "store-revision": known.revision,
-    }
-    return httpd.Answer(200, json.dumps(plain).encode())
-
-
-def _changes(known: _Kind, revision: int) -> httpd.Answer:
-    plain = {
-        "events": known.changes(revision),
-        "store-revision": max(known.revision or 0, revision),
-    }
-    return httpd.Answer(200, json.dumps(plain).encode())
+def _encode(plain: dict) -> httpd.Answer:
+    body = json.dumps(plain).encode()
+    if len(body) <= PACK_BYTES:
+        return httpd.Answer(200, body)
+    return httpd.Answer(200, zlib.compress(body, PACK_LEVEL), packed=True)
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import json
 from typing import Any
+import zlib
 
 import httptools
 
@@ -17,6 +18,8 @@
 from vanilladrum.wire import stream as streams
 
 MAX_IDLE_CONNECTIONS = 2
+# A packed answer may not grow beyond this many bytes, eight pages of a list.
+MAX_UNPACKED_BYTES = 8_000_000
 OBJECTS = "/vanilladrum/objects"
 _OK = 200
 _ABSENT = 404
@@ -83,6 +86,7 @@
     def __init__(self, loop: loops.Loop, to: addresses.Address) -> None:
         self.call: _Call | None = None
         self.body = b""
+        self.packed = False
         self.heard = float("-inf")
         self.loop = loop
         self.parser = httptools.HttpResponseParser(self)
@@ -93,9 +97,14 @@
     def send(self, call: _Call, request: bytes) -> None:
         self.call = call
         self.body = b""
+        self.packed = False
         self.parser = httptools.HttpResponseParser(self)
         self.stream.send(request)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"content-encoding":
+            self.packed = value == b"deflate"
+
     def on_body(self, data: bytes) -> None:
         self.body += data
 
@@ -104,7 +113,8 @@
         if not self.parser.should_keep_alive():
             self.stream.close()
         if call is not None:
-            call.finish((self.parser.get_status_code(), self.body))
+            status = self.parser.get_status_code()
+            call.finish((status, self.body, self.packed))
 
     def _received(self, data: bytes) -> None:
         self.heard = self.loop.now()
@@ -298,11 +308,11 @@
 
 def _read(
     text: str,
-    answer: tuple[int, bytes],
+    answer: tuple[int, bytes, bool],
     read: Callable[[dict], object],
     absent_ok: bool,
 ) -> object:
-    status, body = answer
+    status, body, packed = answer
     if status in _REFUSED:
         return errors.StoreRefusedError(
             f"the store answered {status} to {text}; nothing was done, ask "
@@ -322,11 +332,24 @@
             f"the store answered {status} to {text}; see its page on this call"
         )
     try:
-        return read(json.loads(body or b"{}"))
+        plain = _unpack(body) if packed else body
+        return read(json.loads(plain or b"{}"))
     except errors.PlatformError as error:
         return error
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, zlib.error) as error:
         return errors.PlatformError(
             f"the store's answer to {text} cannot be read ({error!r}); look "
             "at what stands between"
         )
+
+
+def _unpack(body: bytes) -> bytes:
+    """Return a packed body.
+
+    :raises ValueError: when it is larger than any answer.
+    """
+    unpacker = zlib.decompressobj()
+    plain = unpacker.decompress(body, MAX_UNPACKED_BYTES)
+    if unpacker.unconsumed_tail:
+        raise ValueError(f"more than {MAX_UNPACKED_BYTES} bytes")
+    return plain
--- a/vanilladrum/wire/httpd.py
+++ b/vanilladrum/wire/httpd.py
@@ -23,17 +23,22 @@
     """What is sent back.
 
     :param status: one of 200, 400, 404, 410 and 503.
+    :param packed: whether the body is compressed by zlib.
     """
 
-    def __init__(self, status: int, body: bytes = b"") -> None:
+    def __init__(
+        self, status: int, body: bytes = b"", packed: bool = False
+    ) -> None:
         self.status = status
         self.body = body
+        self.packed = packed
 
     def encode(self) -> bytes:
         """Return the response."""
+        encoding = "Content-Encoding: deflate\r\n" if self.packed else ""
         head = (
             f"HTTP/1.1 {self.status} {_REASONS[self.status]}\r\n"
-            "Content-Type: text/plain; charset=utf-8\r\n"
+            f"Content-Type: text/plain; charset=utf-8\r\n{encoding}"
             f"Content-Length: {len(self.body)}\r\n\r\n"
         )
         return head.encode() + self.body
