--- a/vanilladrum/core/watchers.py
+++ b/vanilladrum/core/watchers.py
@@ -2,9 +2,9 @@
 
 Two hosts of a group watch; the others hear changes from them. In a large
 fleet all follow the first one, and the second one, which calls less often,
-is there for its loss. Nothing is agreed: each host decides from the digests that it has. Hosts that disagree
-for a moment cost a call or two and no safety, since every change carries the
-store's revision.
+is there for its loss. Nothing is agreed: each host decides from the digests
+that it has. Hosts that disagree for a moment cost a call or two and no
+safety, since every change carries the store's revision.
 """
 
 import zlib
