Let a digest count for some rounds in a large data centre

Now the age follows the size of the data centre, the watch of another host ends after 2 s so that its silence is noticed without digests, and a host that failed is avoided until it is heard again.

--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -27,8 +27,7 @@
     :param idle_period: between two digests at the most.
     :param fan_out: hosts of the own data centre that get one digest.
     :param far_fan_out: hosts of other data centres that get it too.
-    :param fresh: age up to which a digest counts, about three times what a
-        round through the data centre takes.
+    :param fresh: age up to which a digest counts, at the least.
     :param quiet: a data centre none of whose hosts was heard for so long may
         be cut off.
     """
@@ -51,9 +50,12 @@
 
 
 # A small fleet hears of each flow within a fraction of its length. In a
-# large one each host sends about 25 datagrams a second, whatever its size.
+# large one each host sends 20 to 40 datagrams a second, whatever its size.
 SMALL = Cadence(0.04, 0.1, SMALL_FLEET, SMALL_FLEET, 0.5, 0.3)
-LARGE = Cadence(0.2, 0.4, 4, 1, 2.0, 2.0)
+LARGE = Cadence(0.2, 0.4, 6, 2, 2.0, 2.0)
+# In a large fleet a digest counts for so many rounds through the data centre:
+# the order of a round is random, so that two of them may pass.
+ROUNDS = 2.5
 
 
 class Digest:
@@ -134,6 +136,7 @@
 
     :param me: own address between entry hosts.
     :param open: open flows at all neighbours together, by server's tag.
+    :param near: fresh hosts of the own data centre.
     """
 
     def __init__(
@@ -152,6 +155,7 @@
         self.heard: dict[int, float] = {}
         self.start = rng.getrandbits(32)
         self.sequence = 0
+        self.near = 0
         self._turn: list[addresses.Address] = []
         for seed in seeds:
             self.meet(seed, float("-inf"))
@@ -166,6 +170,14 @@
         """Return whether hosts keep to their own data centre."""
         return len(self.hosts) > SMALL_FLEET
 
+    @property
+    def fresh_age(self) -> float:
+        """Return up to which age in seconds a digest is believed."""
+        if not self.large:
+            return SMALL.fresh
+        rounds = ROUNDS * self.near / LARGE.fan_out
+        return max(LARGE.fresh, rounds * LARGE.idle_period)
+
     def meet(self, host: addresses.Address, now: float) -> None:
         """Get to know a host by its address."""
         if host == self.me or host in self.hosts:
@@ -189,7 +201,7 @@
         if neighbour is None or _outdated(digest, neighbour.digest):
             return False
         near = digest.data_centre == self.data_centre or not self.large
-        silent = now - neighbour.heard > self.cadence.fresh
+        silent = now - neighbour.heard > self.fresh_age
         returned = near and silent or _first(digest, neighbour.digest)
         self._uncount(neighbour)
         neighbour.digest = digest
@@ -203,7 +215,7 @@
         """Stop counting what is too old to be believed."""
         forgotten = []
         for host, neighbour in self.hosts.items():
-            if now - neighbour.heard <= self.cadence.fresh:
+            if now - neighbour.heard <= self.fresh_age:
                 continue
             self._uncount(neighbour)
             last = max(neighbour.heard, neighbour.known_since)
@@ -245,7 +257,7 @@
         return [
             host
             for host, neighbour in self.hosts.items()
-            if now - neighbour.heard <= self.cadence.fresh
+            if now - neighbour.heard <= self.fresh_age
         ]
 
     def digest(self, host: addresses.Address) -> Digest:
@@ -262,12 +274,13 @@
         """Return to whom the next digest goes."""
         silent = []
         for host, neighbour in self.hosts.items():
-            if now - neighbour.heard <= self.cadence.fresh:
+            if now - neighbour.heard <= self.fresh_age:
                 continue
             if now - neighbour.asked >= RETRY_SECONDS:
                 neighbour.asked = now
                 silent.append(host)
         near, far = self._by_distance(self.fresh(now))
+        self.near = len(near)
         chosen = self._next_in_turn(near)
         wanted = min(self.cadence.far_fan_out, len(far))
         chosen.extend(self.rng.sample(far, wanted))
--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -24,6 +24,9 @@
 # A watch waits this long for a change; a shorter wait costs more calls, and
 # the store waits 30 s at the most.
 WATCH_SECONDS = 25.0
+# The same at another entry host: one that is cut off or frozen is noticed by
+# an empty answer that does not come.
+PEER_WATCH_SECONDS = 2.0
 # Pauses after failed calls, in seconds: the first ones are a fraction of the
 # time in which a configuration has to be in force, and as each call has a
 # price, the last ones are longer.
@@ -190,7 +193,7 @@
             self.known,
             not self.contact.away,
             self.knows,
-            {host for host, until in self._avoided.items() if until > now},
+            {host for host in self._avoided if self._is_avoided(host, now)},
             now,
         )
         if chosen == self.following:
@@ -227,9 +230,17 @@
 
     def avoid(self, host: addresses.Address, reason: str) -> None:
         """Follow a host no more for a while."""
-        self._avoided[host] = self.loop.now() + AVOID_SECONDS
+        self._avoided[host] = self.loop.now()
         self.contact.log.event("source avoided", host=host, reason=reason)
 
+    def _is_avoided(self, host: addresses.Address, now: float) -> bool:
+        """Return whether a host failed lately or was not heard since."""
+        failed = self._avoided[host]
+        neighbour = self.known.hosts.get(host)
+        if neighbour is None or neighbour.heard < failed:
+            return True
+        return now - failed < AVOID_SECONDS
+
     def _followed(self) -> neighbours.Neighbour | None:
         if self.following is None:
             return None
@@ -329,9 +340,9 @@
             self._cancel = _nothing
             source.list(self.kind, answered)
             return
-        self._cancel = source.watch(
-            self.kind, self.revision, WATCH_SECONDS, answered
-        )
+        at_store = source is self.sources.contact.store
+        wait = WATCH_SECONDS if at_store else PEER_WATCH_SECONDS
+        self._cancel = source.watch(self.kind, self.revision, wait, answered)
 
     def _answered(self, outcome: Any) -> None:
         pause = 0.0
