--- a/vanilladrum/daemons/store_follower.py
+++ b/vanilladrum/daemons/store_follower.py
@@ -27,6 +27,9 @@
 # The same at another entry host: one that is cut off or frozen is noticed by
 # an empty answer that does not come.
 PEER_WATCH_SECONDS = 2.0
+# After a list from the store a host waits so long, in seconds, before it
+# watches there: by then it has heard whom to follow instead.
+SETTLE_SECONDS = 0.2
 # Pauses after failed calls, in seconds: the first ones are a fraction of the
 # time in which a configuration has to be in force, and as each call has a
 # price, the last ones are longer.
@@ -382,6 +385,8 @@
             self._relist = False
             self.sources.mirror.listed(self.kind, outcome)
             self.on_listing(outcome.objects)
+            if self.sources.following is None:
+                pause = SETTLE_SECONDS
         else:
             self.sources.mirror.changed(self.kind, outcome)
             for each in outcome.objects:
