--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -29,7 +29,7 @@
 _ABSENT = httpd.Answer(404)
 
 
-class _Kind:
+class Kind:
     """Objects of one kind and their last changes.
 
     :param complete_from: revision since which no change is missing.
@@ -62,6 +62,10 @@
         """Make answers anew from now on."""
         self._answers.clear()
 
+    def reaches_back_to(self, revision: int) -> bool:
+        """Return whether no change after a revision is missing."""
+        return revision >= self.complete_from
+
     def changed_after(self, revision: int) -> bool:
         """Return whether a watch from a revision has something to tell."""
         if not self.history:
@@ -71,11 +75,11 @@
 
     def listing(self) -> httpd.Answer:
         """Return all objects."""
-        return self._answer(None, self._plain_listing)
+        return self._answer(None, self.listing_plain)
 
     def changes(self, revision: int) -> httpd.Answer:
         """Return what has changed after a revision."""
-        return self._answer(revision, lambda: self._plain_changes(revision))
+        return self._answer(revision, lambda: self.changes_plain(revision))
 
     def _answer(
         self, asked: int | None, make: Callable[[], dict]
@@ -87,14 +91,16 @@
             self._answers[asked] = _encode(make())
         return self._answers[asked]
 
-    def _plain_listing(self) -> dict:
+    def listing_plain(self) -> dict:
+        """Return all objects as the store writes them."""
         return {
             "items": list(self.plain.values()),
             "has-more": False,
             "store-revision": self.revision,
         }
 
-    def _plain_changes(self, revision: int) -> dict:
+    def changes_plain(self, revision: int) -> dict:
+        """Return what has changed after a revision as the store writes it."""
         events = [
             {"object": plain, "deleted": deleted}
             for at, plain, deleted in self.history.values()
@@ -122,7 +128,7 @@
 
     def __init__(self, loop: loops.Loop) -> None:
         self.loop = loop
-        self.kinds: dict[str, _Kind] = collections.defaultdict(_Kind)
+        self.kinds: dict[str, Kind] = collections.defaultdict(Kind)
 
     def revision(self, kind: str) -> int:
         """Return up to which revision a kind is known, 0 for not at all."""
@@ -167,7 +173,7 @@
         except ValueError:
             request.answer(httpd.Answer(400))
             return
-        if revision < known.complete_from:
+        if not known.reaches_back_to(revision):
             request.answer(_GONE)
             return
         if known.changed_after(revision):
@@ -185,7 +191,7 @@
                     known.waiting.remove(waiting)
                     waiting.request.answer(known.changes(waiting.revision))
 
-    def _tell(self, known: _Kind) -> None:
+    def _tell(self, known: Kind) -> None:
         waiting, known.waiting = known.waiting, []
         for each in waiting:
             if known.changed_after(each.revision):
