--- a/model/__main__.py
+++ b/model/__main__.py
@@ -9,6 +9,7 @@
 from model import generations
 from model import ownership
 from model import ownership_mutants
+from model import watchers
 
 MAX_STATES = 2_000_000
 MUTANT_STATES = 400_000
@@ -75,6 +76,9 @@
     results.append(check(flows.protocol(flows.Rules())))
     for rules in flows.MUTANTS:
         results.append(catches(flows.protocol(rules), rules.breaks))
+    results.append(check(watchers.protocol(watchers.Rules())))
+    for rules in watchers.MUTANTS:
+        results.append(catches(watchers.protocol(rules, 3), rules.breaks))
     return 0 if all(results) else 1
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -8,6 +8,7 @@
 from model import generations
 from model import ownership
 from model import ownership_mutants
+from model import watchers
 
 
 def test_shipped_rules_hold_for_one_request():
@@ -75,3 +76,20 @@
         )
         broken = result["properties"][rules.breaks]["counterexample"]
         assert bool(broken) == (tried is rules)
+
+
+@pytest.mark.parametrize(
+    "rules",
+    [
+        rules
+        for rules in watchers.MUTANTS
+        if rules.name in ("answers_across_gaps", "names_its_own_revision")
+    ],
+    ids=lambda rules: rules.name,
+)
+def test_watchers_hold_and_mutants_are_caught_with_one_change(rules):
+    """More changes are searched by `make model`."""
+    for tried in (watchers.Rules(), rules):
+        result = minicheck.check_safety(watchers.protocol(tried, 1))
+        found = result["properties"][rules.breaks]
+        assert found["holds"] is (tried is not rules)
