--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -8,7 +8,9 @@
 import pytest
 
 from examples import flow_cluster
+from vanilladrum.daemons import settings
 from vanilladrum.standins import flow_caller
+from vanilladrum.standins import flow_load
 from vanilladrum.standins import object_store
 
 Outcome = flow_caller.Outcome
@@ -56,6 +58,38 @@
     return found
 
 
+def load_settings(cluster, folder, ip, **wrong):
+    """Write the settings of a short load run on the cluster's hosts."""
+    caller = f"{ip}:{cluster.ports[0]}"
+    text = [f'caller = "{caller}"', "duration = 1.0", "spray = true"]
+    for host in cluster.hosts:
+        text += ["[[host]]", f'packets = "{host.flows}"']
+        text += [f'readiness = "{host.readiness}"']
+    for service, address in cluster.targets.items():
+        name = wrong.get(service, service)
+        text += ["[[target]]", f'service = "{name}"']
+        text += [f'address = "{address}"', "rate = 50.0"]
+    path = folder / "flow-load.toml"
+    path.write_text("\n".join(text))
+    return settings.read(flow_load.FlowLoadSettings, str(path))
+
+
+async def test_load_counts_what_was_served_and_what_was_wrong(
+    cluster, tmp_path
+):
+    found = load_settings(cluster, tmp_path, "127.1.0.2")
+    report = await flow_load.FlowLoad(found).run()
+    assert {each["served"] for each in report.values()} == {50}
+    assert flow_load.finish(report) == 0
+    service = next(iter(cluster.targets))
+    found = load_settings(
+        cluster, tmp_path, "127.1.0.3", **{service: "another"}
+    )
+    report = await flow_load.FlowLoad(found).run()
+    assert report["another"]["wrong"] == 50
+    assert flow_load.finish(report) == 1
+
+
 async def test_whole_path_serves_any_packet_on_any_host(cluster):
     cluster.router.spray = True
     assert await ask_many(cluster, 300) == 300
--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -19,6 +19,7 @@
 from vanilladrum.operator import report as reports
 from vanilladrum.standins import backend
 from vanilladrum.standins import fabric
+from vanilladrum.standins import flow_load as flow_loads
 from vanilladrum.standins import load as loads
 from vanilladrum.standins import platform
 
@@ -143,6 +144,15 @@
         outcome = uvloop.run(loads.Load(found).run())
         sys.exit(loads.finish(outcome, report))
 
+    def flow_load(self, settings: str) -> None:
+        """Open flows at entry hosts, check every answer, print a table.
+
+        :param settings: path of the run's TOML settings.
+        """
+        found = settings_module.read(flow_loads.FlowLoadSettings, settings)
+        outcome = uvloop.run(flow_loads.FlowLoad(found).run())
+        sys.exit(flow_loads.finish(outcome))
+
 
 def tune_collector() -> None:
     """Collect cycles rarely: requests leave few, and each pass is long."""
