--- a/model/flows.py
+++ b/model/flows.py
@@ -12,6 +12,7 @@
 import attrs
 import minicheck
 
+from model import stepping
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
 from vanilladrum.core import flow as flows
@@ -311,14 +312,10 @@
 def protocol(rules: Rules) -> minicheck.Protocol:
     """Return the model under some rules."""
     model = Flows(rules)
-    return minicheck.Protocol(
+    return stepping.make_protocol(
         name=f"flows-{rules.name}",
-        candidate=False,
-        fields=("state",),
-        initial=(State(),),
-        transitions=lambda fields: [
-            (label, (after,)) for label, after in model.steps(fields[0])
-        ],
+        initial=State(),
+        steps=model.steps,
         invariants=INVARIANTS,
         goal=lambda fields: True,
     )
--- a/model/generations.py
+++ b/model/generations.py
@@ -13,6 +13,7 @@
 import attrs
 import minicheck
 
+from model import stepping
 from vanilladrum.core import generation as generations
 
 OPERATORS = ("a", "b")
@@ -257,14 +258,10 @@
 def protocol(rules: Rules) -> minicheck.Protocol:
     """Return the model under some rules."""
     model = Generations(rules)
-    return minicheck.Protocol(
+    return stepping.make_protocol(
         name=f"generations-{rules.name}",
-        candidate=False,
-        fields=("state",),
-        initial=(State(),),
-        transitions=lambda fields: [
-            (label, (after,)) for label, after in model.steps(fields[0])
-        ],
+        initial=State(),
+        steps=model.steps,
         invariants=INVARIANTS,
         goal=lambda fields: (
             len(set(fields["state"].hosts)) == 1
--- a/model/ownership.py
+++ b/model/ownership.py
@@ -14,6 +14,7 @@
 import attrs
 import minicheck
 
+from model import stepping
 from vanilladrum.core import ownership
 
 Stage = ownership.Stage
@@ -343,14 +344,10 @@
     """Return the model with a number of requests under some rules."""
     model = Ownership(rules)
     initial = State((RequestState(),) * requests)
-    return minicheck.Protocol(
+    return stepping.make_protocol(
         name=f"ownership-{rules.name}",
-        candidate=False,
-        fields=("state",),
-        initial=(initial,),
-        transitions=lambda fields: [
-            (label, (after,)) for label, after in model.steps(fields[0])
-        ],
+        initial=initial,
+        steps=model.steps,
         invariants=INVARIANTS,
         goal=everyone_is_told,
     )
--- a/model/watchers.py
+++ b/model/watchers.py
@@ -12,6 +12,7 @@
 import attrs
 import minicheck
 
+from model import stepping
 from vanilladrum.core import errors
 from vanilladrum.daemons import store_follower
 from vanilladrum.platform import mirror as mirrors
@@ -319,14 +320,10 @@
     :param changes: how often the store changes, at the most.
     """
     model = Watchers(rules, changes)
-    return minicheck.Protocol(
+    return stepping.make_protocol(
         name=f"watchers-{rules.name}",
-        candidate=False,
-        fields=("state",),
-        initial=(State(),),
-        transitions=lambda fields: [
-            (label, (after,)) for label, after in model.steps(fields[0])
-        ],
+        initial=State(),
+        steps=model.steps,
         invariants=INVARIANTS,
         goal=all_know,
     )
