Read mirrors in the model by the shipped client, without the platform's names

The model of the watchers read fields of the platform by name, outside platform/. It reads through the shipped client now, and the stand-in of the store makes its objects.

--- a/model/watchers.py
+++ b/model/watchers.py
@@ -18,6 +18,7 @@
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
+from vanilladrum.standins import object_store
 
 HOSTS = 2
 KIND = "servers"
@@ -100,7 +101,7 @@
 
 
 def _stored(name: str, revision: int, deleted: bool) -> objects.Stored:
-    plain = {"meta": {"name": name, "revision": revision}, "spec": {}}
+    plain = object_store.make_plain(name, revision, {})
     return objects.stored(plain, deleted)
 
 
@@ -126,6 +127,25 @@
         self.refused = True
 
 
+class _Reader(stores.Store):
+    """The shipped client, whose every call has a known answer."""
+
+    def __init__(self, plain: dict) -> None:
+        self.plain = plain
+        self.found: list = []
+
+    def _call(self, method, path, read, done, **_):
+        done(read(self.plain))
+
+    def listing(self) -> stores.Listing:
+        self.list(KIND, self.found.append)
+        return self.found.pop()
+
+    def changes(self) -> stores.Changes:
+        self.watch(KIND, 0, 0.0, self.found.append)
+        return self.found.pop()
+
+
 @attrs.frozen
 class Watchers:
     """Steps of the model under some rules."""
@@ -171,17 +191,17 @@
         if kind.revision is None:
             return None
         if host.relist or host.revision is None:
-            plain = kind.listing_plain()
-            listed = [_named(each) for each in plain["items"]]
-            return Answer(plain["store-revision"], tuple(sorted(listed)))
+            listing = _Reader(kind.listing_plain()).listing()
+            listed = [(each.name, each.revision) for each in listing.objects]
+            return Answer(listing.revision, tuple(sorted(listed)))
         if not kind.reaches_back_to(host.revision):
             return Answer(0, gone=True)
-        plain = kind.changes_plain(host.revision)
+        changes = _Reader(kind.changes_plain(host.revision)).changes()
         events = tuple(
-            (*_named(each["object"]), each["deleted"])
-            for each in plain["events"]
+            (each.name, each.revision, each.deleted)
+            for each in changes.objects
         )
-        return Answer(plain["store-revision"], events=events)
+        return Answer(changes.revision, events=events)
 
     def _answer_of_store(self, state: State, host: Host) -> Answer:
         if host.relist or host.revision is None:
@@ -231,8 +251,8 @@
             view=tuple(sorted(view.items())),
             floor=kind.complete_from,
             history=tuple(
-                (*_named(plain), deleted, at)
-                for at, plain, deleted in kind.history.values()
+                (name, objects.stored(plain).revision, deleted, at)
+                for name, (at, plain, deleted) in kind.history.items()
             ),
             went_back=host.went_back or (follower.revision or 0) < before,
         )
@@ -257,10 +277,6 @@
     return attrs.evolve(state, hosts=tuple(hosts))
 
 
-def _named(plain: dict) -> tuple[str, int]:
-    return plain["meta"]["name"], plain["meta"]["revision"]
-
-
 def _outcome(answer: Answer) -> stores.Listing | stores.Changes:
     if answer.listed is not None:
         listed = tuple(_stored(*each, False) for each in answer.listed)
@@ -278,7 +294,7 @@
 def _change(view: dict, changed: objects.Stored) -> None:
     view.pop(changed.name, None)
     if not changed.deleted:
-        view[changed.name] = changed.plain["meta"]["revision"]
+        view[changed.name] = changed.revision
 
 
 def no_gap(fields: dict) -> bool:
@@ -348,9 +364,7 @@
     """Tells a host that is ahead to go back."""
 
     def changes_plain(self, revision):
-        return super().changes_plain(revision) | {
-            "store-revision": self.revision
-        }
+        return super().changes_plain(min(revision, self.revision))
 
 
 class _ForgetsDeletions(mirrors.Kind):
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -19,6 +19,21 @@
     RESET = "reset"
 
 
+def make_plain(name: str, revision: int, spec: object) -> dict:
+    """Return an object as the platform's store writes it."""
+    return {
+        "meta": {
+            "name": name,
+            "revision": revision,
+            "created": revision,
+            "finalizers": [],
+            "deleting": False,
+        },
+        "spec": spec,
+        "status": None,
+    }
+
+
 @attrs.define(eq=False)
 class ObjectStore:
     """Objects by kind and name under one revision counter.
@@ -41,17 +56,7 @@
     async def put(self, kind: str, name: str, spec: object) -> None:
         """Store an object."""
         self.revision += 1
-        plain = {
-            "meta": {
-                "name": name,
-                "revision": self.revision,
-                "created": self.revision,
-                "finalizers": [],
-                "deleting": False,
-            },
-            "spec": spec,
-            "status": None,
-        }
+        plain = make_plain(name, self.revision, spec)
         self.kinds[kind][name] = plain
         await self._tell(kind, plain, False)
 
