End the endless recursion of the event log's report; mend bench/overload

The second is noted first and the count of dropped lines is cleared before the report. The new test has its own clock; on the old order it fails each time.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -9,8 +9,9 @@
 import statistics
 
 import attrs
-import policies
 
+from bench import emulator
+from bench import policies
 from vanilladrum.core import fleet as fleets
 from vanilladrum.core import job as jobs
 from vanilladrum.core import request as requests
@@ -54,7 +55,7 @@
     counts: dict = attrs.field(factory=dict)
     max_queued: int = 0
 
-    def queue(self, work: policies.Work) -> None:
+    def queue(self, work: emulator.Work) -> None:
         """Admit or refuse work, as the entry host does."""
         now = self.run.now
         priority = fleets.Priority(int(work.bulk))
@@ -95,7 +96,7 @@
             server = self.run.servers[grant.server.number - 1]
             self.run.begin(grant.job.key, server, self)
 
-    def ended(self, work: policies.Work, server: policies.Server) -> None:
+    def ended(self, work: emulator.Work, server: emulator.Server) -> None:
         """Count an answer if it arrived before its deadline."""
         counts = self.counts[class_name(work)]
         if is_in_time(work):
@@ -104,25 +105,25 @@
         policies.Shipped.ended(self, work, server)
 
 
-def is_in_time(work: policies.Work) -> bool:
+def is_in_time(work: emulator.Work) -> bool:
     """Return whether an answer arrived before its deadline."""
     deadline = DEADLINES[int(work.bulk)]
     return bool(work.ended) and work.ended - work.arrived <= deadline
 
 
-def class_name(work: policies.Work) -> str:
+def class_name(work: emulator.Work) -> str:
     """Return the name of the priority class of some work."""
     return "bulk" if work.bulk else "urgent"
 
 
-def arrivals(seed: int, load: float, noisy: float) -> list[policies.Work]:
+def arrivals(seed: int, load: float, noisy: float) -> list[emulator.Work]:
     """Return the arrivals of one run; ``host`` is the number of the caller.
 
     :param load: requested slot time as a multiple of the capacity.
     :param noisy: share of the requests that the noisy caller sends.
     """
     rng = random.Random(seed)
-    mean = policies.SERVICE_SECONDS
+    mean = emulator.SERVICE_SECONDS
     rate = load * SERVER_COUNT * SLOTS / mean / 2
     work = []
     for bulk in (False, True):
@@ -134,7 +135,7 @@
             if rng.random() < noisy:
                 caller = NOISY_CALLER
             length = seconds * rng.uniform(0.8, 1.2)
-            work.append(policies.Work(now, length, bulk, caller, False))
+            work.append(emulator.Work(now, length, bulk, caller, False))
     return work
 
 
@@ -147,9 +148,9 @@
     """
     work = arrivals(seed, load, noisy)
     servers = [
-        policies.Server(number, SLOTS) for number in range(SERVER_COUNT)
+        emulator.Server(number, SLOTS) for number in range(SERVER_COUNT)
     ]
-    run = policies.Run(servers, random.Random(seed))
+    run = emulator.Run(servers, random.Random(seed))
     dispatcher = AdmittingDispatcher(run, 0.0)
     run.play(work, dispatcher)
     busy = sum(each.busy_seconds for each in dispatcher.counts.values())
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -2,20 +2,22 @@
 
 import json
 import os
+import time
 
 from tests import flow_factories
 from vanilladrum.daemons import flow_metrics
 from vanilladrum.daemons import json_log
 
 
-def make_log(limit=json_log.MAX_LINES_PER_SECOND):
+def make_log(limit=json_log.MAX_LINES_PER_SECOND, clock=time.monotonic):
     """Return an event log that writes to a pipe, and the pipe's read end.
 
     :param limit: lines of one event that are written per second.
+    :param clock: returns the monotonic time in seconds.
     """
     read_end, write_end = os.pipe()
     writer = json_log.LineWriter(write_end)
-    return json_log.EventLog(writer, {"host": "a"}, limit), read_end
+    return json_log.EventLog(writer, {"host": "a"}, limit, clock), read_end
 
 
 def read_lines(read_end):
@@ -61,6 +63,25 @@
     assert read_lines(read_end)
 
 
+def test_dropped_lines_are_reported_once_in_the_next_second(monkeypatch):
+    monkeypatch.setattr(json_log, "MAX_BUFFERED_BYTES", 300)
+    now = 1.5
+    log, read_end = make_log(limit=1000, clock=lambda: now)
+    for number in range(20):
+        log.event("flow", number=number)
+    log.flush()
+    read_lines(read_end)
+    dropped = log.writer.dropped
+    now = 2.5
+    log.event("flow")
+    log.flush()
+    report, line = read_lines(read_end)
+    assert report["event"] == "lines left out"
+    assert report["no_room"] == dropped > 0
+    assert line["event"] == "flow"
+    assert log.writer.dropped == 0
+
+
 def test_closed_pipe_only_loses_lines():
     log, read_end = make_log()
     os.close(read_end)
--- a/vanilladrum/daemons/json_log.py
+++ b/vanilladrum/daemons/json_log.py
@@ -1,6 +1,7 @@
 """Non-blocking log of JSON lines on standard output."""
 
 import collections
+from collections.abc import Callable
 import json
 import os
 import select
@@ -60,6 +61,7 @@
 
     :param context: fields added to every line.
     :param limit: lines per second for one event name.
+    :param clock: returns the monotonic time in seconds.
     """
 
     def __init__(
@@ -67,10 +69,12 @@
         writer: LineWriter,
         context: dict[str, object],
         limit: int = MAX_LINES_PER_SECOND,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.writer = writer
         self.context = context
         self.limit = limit
+        self.clock = clock
         self._current_second = 0
         self._written: collections.Counter = collections.Counter()
         self._suppressed: collections.Counter = collections.Counter()
@@ -93,10 +97,11 @@
 
         A line that it does not permit is counted as suppressed.
         """
-        second = int(time.monotonic())
+        second = int(self.clock())
         if second != self._current_second:
-            self._report()
+            # Set first, because the report is an event as well.
             self._current_second = second
+            self._report()
         if self._written[event] < self.limit:
             return True
         self._suppressed[event] += 1
@@ -108,14 +113,13 @@
 
     def _report(self) -> None:
         suppressed = dict(self._suppressed)
+        dropped = self.writer.dropped
         self._written.clear()
         self._suppressed.clear()
-        if not suppressed and not self.writer.dropped:
+        if not suppressed and not dropped:
             return
-        self.event(
-            "lines left out", events=suppressed, no_room=self.writer.dropped
-        )
         self.writer.dropped = 0
+        self.event("lines left out", events=suppressed, no_room=dropped)
 
 
 def _now() -> str:
