Send five digests a second in a large fleet; let newcomers follow before they watch

Causes: digests carried the number of busy flows, which are over before a digest arrives in a large fleet; digests were valid for a time that followed from the number of known local hosts, so a host that knew few never learned more; silent hosts of other data centres were retried each second; every host that had just listed watched the store until it knew two that precede it.

Now: one digest a second to four local hosts and one other, without flows; six and two each 0.2 s in the first 3 s; the reply to a newcomer lists hosts of its data centre; unheard and remote hosts are bounded, seeds are never forgotten; a newcomer follows a known watcher, and claims the watch after up to 1 s; a watcher with followers calls as often as the first one. Ticks each 0.25 s when nothing is pending.

--- a/tests/test_list_watch.py
+++ b/tests/test_list_watch.py
@@ -23,7 +23,8 @@
     :param store_unreachable: whether the store is unreachable.
     :returns: the source selector, and a list of the repeated list requests:
         ``followed host`` if it goes to the current source (the store if no
-        host is followed), ``store`` if it goes to the store in any case.
+        host is followed), ``later`` if it does so after a delay, ``store`` if
+        it goes to the store in any case.
     """
     loop = loops.Loop()
     view = test_watchers.make_view(
@@ -43,7 +44,9 @@
         source_selector, objects.CONFIGURATION_KIND, print, print
     )
     requested = []
-    list_watcher.restart = lambda: requested.append("followed host")
+    list_watcher.restart = lambda delay=0.0: requested.append(
+        "later" if delay else "followed host"
+    )
     list_watcher.list_from_store = lambda: requested.append("store")
     return source_selector, requested
 
@@ -230,3 +233,32 @@
         receive_digest_after_lag(source_selector)
     )
     assert requested == [expected_source]
+
+
+def test_host_that_has_just_started_claims_the_watch_later(monkeypatch):
+    """All hosts of a data centre start at once and know no watcher yet.
+
+    One of them claims the watch in its digest, and the others follow it
+    without a call to the store.
+    """
+    source_selector, requested = make_source_selector(
+        peer_generation=1, store_unreachable=False
+    )
+    known = source_selector.neighbours
+    now = source_selector.loop.now()
+    for number in range(3, 30):
+        known.receive(
+            test_watchers.host_at(number), test_watchers.make_digest(), now
+        )
+    known.discovering = True
+    source_selector.start()
+    requested.clear()
+    for list_watcher in source_selector.list_watchers:
+        list_watcher.revision = 1
+    source_selector.tick()
+    assert source_selector.followed_host is None
+    assert requested == ["later"]
+    claimed = test_watchers.make_digest(2, watching=True)
+    known.receive(test_watchers.host_at(4), claimed, now)
+    source_selector.tick()
+    assert source_selector.followed_host == test_watchers.host_at(4)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -38,11 +38,12 @@
 
 
 def make_view(me, others, now=0.0):
-    """Return the view of a host that has received digests of others.
+    """Return the view of a host that started long ago.
 
-    :param others: digests by host number.
+    :param others: digests received from others, by host number.
     """
     view = neighbours.Neighbours(host_at(me), 1, random.Random(me))
+    view.discovering = False
     for number, digest in others.items():
         view.receive(host_at(number), digest, now)
     return view
@@ -148,7 +149,84 @@
         expected = host_at(ranked[0]) if rank > 1 else None
         assert choose(view) == expected
         if rank < 2:
-            assert watchers.may_have_followers(view, 0.1) == (rank == 0)
+            assert watchers.is_first(view, 0.1) == (rank == 0)
+
+
+def test_new_host_follows_a_watcher_instead_of_becoming_one_at_once():
+    """All hosts of a data centre start together.
+
+    Each of them knew few others and watched the store until it had heard of
+    two that precede it: three calls a host, of which each is charged.
+    """
+    ranked = numbers_by_rank(30)
+    others = {
+        ranked[20]: make_digest(watching=True),
+        ranked[25]: make_digest(),
+    }
+    view = make_view(ranked[0], others)
+    view.discovering = True
+    assert choose(view) == host_at(ranked[20])
+    # The watcher fails.
+    assert choose(view, avoided=[host_at(ranked[20])]) is None
+    view.tick(0.0)
+    view.tick(neighbours.DISCOVERY_SECONDS)
+    assert choose(view) is None
+
+
+def test_failed_watcher_is_replaced_before_its_digest_expires():
+    ranked = numbers_by_rank(30)
+    others = {
+        number: make_digest(watching=number in ranked[:2])
+        for number in ranked
+        if number != ranked[2]
+    }
+    view = make_view(ranked[2], others)
+    assert choose(view) == host_at(ranked[0])
+    assert choose(view, avoided=[host_at(ranked[0])]) is None
+
+
+def test_reply_to_a_new_host_lists_hosts_of_its_data_centre():
+    """A seed in another data centre is the first host that answers."""
+    others = {n: make_digest(data_centre=1 + n % 3) for n in range(2, 40)}
+    view = make_view(1, others)
+    newcomer = make_digest(data_centre=2)
+    made = view.make_digest(1, False, False, False, False, 5, {}, newcomer)
+    centres = {view.digest(host).data_centre for host in made.hosts}
+    assert centres == {2} and len(made.hosts) == 4
+
+
+def test_remote_hosts_and_unheard_ones_are_bounded():
+    """Thousands of hosts in other data centres are not all kept."""
+    view = make_view(1, {n: make_digest() for n in range(2, 20)})
+    for number in range(1000):
+        sender = addresses.Address(f"10.2.{number // 250}.{number % 250}", 1)
+        listed = (addresses.Address(f"10.3.{number // 250}.9", number),)
+        view.receive(sender, make_digest(data_centre=2, hosts=listed), 0.1)
+    assert len(view.remote) <= neighbours.MAX_REMOTE_HOSTS
+    assert len(view.hosts) <= 19 + (
+        neighbours.MAX_REMOTE_HOSTS + neighbours.MAX_UNHEARD_HOSTS
+    )
+    assert not view.is_silent(2, 0.2)
+
+
+def test_seed_that_knows_many_hosts_answers_a_new_one():
+    """Hosts of the last data centres knew no other host for 20 s."""
+    view = make_view(1, {n: make_digest() for n in range(2, 20)})
+    for number in range(200):
+        sender = addresses.Address(f"10.2.0.{number}", 7720)
+        assert view.receive(sender, make_digest(data_centre=2), 0.1)
+    newcomer = addresses.Address("10.3.0.1", 7720)
+    assert view.receive(newcomer, make_digest(data_centre=3), 0.1)
+    assert newcomer in view.hosts
+
+
+def test_seeds_are_retried_after_a_long_partition():
+    seed = host_at(9)
+    view = neighbours.Neighbours(host_at(1), 1, random.Random(1), (seed,))
+    view.receive(seed, make_digest(), 0.0)
+    later = 2 * neighbours.FORGET_SECONDS
+    view.tick(later)
+    assert view.receivers(later) == [seed]
 
 
 def test_new_hosts_of_a_large_fleet_spread_over_informed_hosts():
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -20,11 +20,13 @@
 from vanilladrum.core import serverstate
 from vanilladrum.core import speed_estimator
 
-# Longest interval between two calls of FlowHost.tick, in seconds.
-MAX_TICK_INTERVAL_SECONDS = 0.1
+# Longest interval between two calls of FlowHost.tick, in seconds: while first
+# packets are unanswered or servers change, and otherwise.
+BUSY_TICK_INTERVAL_SECONDS = 0.1
+IDLE_TICK_INTERVAL_SECONDS = 0.25
 # A longer interval between two ticks, in seconds, means that this process was
 # suspended or starved of CPU.
-PROCESS_PAUSE_SECONDS = 0.2
+PROCESS_PAUSE_SECONDS = 0.35
 # Samples of servers that are drawn, at most, to find a healthy one.
 MAX_SAMPLES = 3
 # Load of an open flow that carries no request now, as a fraction of a
@@ -155,19 +157,36 @@
             return self._open(packet, route, now)
         return self._forward_later_packet(packet, route, now)
 
-    def tick(self, now: float) -> list[UnansweredAttempt]:
+    def tick(
+        self, now: float, input_read: bool = True
+    ) -> list[UnansweredAttempt]:
         """Detect unanswered first packets and remove expired state.
 
         :param now: monotonic seconds.
+        :param input_read: whether all packets that have arrived were passed
+            to :meth:`receive`. Otherwise an answer may be among the others.
         :returns: first packets that were not answered within the limit.
         """
-        attempts = []
         if now - self.last_tick > PROCESS_PAUSE_SECONDS:
-            # Callers' packets that arrived during the pause have not been
-            # read yet, so missing answers are no sign of a failed server.
+            # Callers' packets may have been lost during the pause, so missing
+            # answers are no sign of a failed server.
             self.table.clear_unanswered()
         self.last_tick = now
         self._update_silent_data_centres(now)
+        attempts = self._find_unanswered(now) if input_read else []
+        self.table.expire(now)
+        self.neighbours.tick(now)
+        if not self.entries_may_return:
+            for _ in self.directory.remove_missing(now):
+                self.counters["servers_gone"] += 1
+        for server in self.directory.expire(now):
+            self.failure_detector.remove(server)
+            self.speed_estimator.remove(server)
+        return attempts
+
+    def _find_unanswered(self, now: float) -> list[UnansweredAttempt]:
+        """Record the first packets that were not answered in time."""
+        attempts = []
         timeout = self.failure_detector.round_trip.timeout()
         for flow, server, sent in self.table.pop_unanswered(now - timeout):
             caused_ejection = self.failure_detector.record_timeout(
@@ -180,14 +199,6 @@
                     flow.key, server, now - sent, caused_ejection
                 )
             )
-        self.table.expire(now)
-        self.neighbours.tick(now)
-        if not self.entries_may_return:
-            for _ in self.directory.remove_missing(now):
-                self.counters["servers_gone"] += 1
-        for server in self.directory.expire(now):
-            self.failure_detector.remove(server)
-            self.speed_estimator.remove(server)
         return attempts
 
     def next_tick_at(self, now: float) -> float:
@@ -197,10 +208,12 @@
         :returns: monotonic seconds.
         """
         oldest = self.table.oldest_unanswered()
-        if oldest is None:
-            return now + MAX_TICK_INTERVAL_SECONDS
-        due = oldest + self.failure_detector.round_trip.timeout()
-        return min(due, now + MAX_TICK_INTERVAL_SECONDS)
+        if oldest is not None:
+            due = oldest + self.failure_detector.round_trip.timeout()
+            return min(due, now + BUSY_TICK_INTERVAL_SECONDS)
+        if self.directory.pending_removal or self.failure_detector.suspects:
+            return now + BUSY_TICK_INTERVAL_SECONDS
+        return now + IDLE_TICK_INTERVAL_SECONDS
 
     def handle_removed_entry(self, name: str, now: float) -> None:
         """Handle the removal of a server's entry from the store.
@@ -233,14 +246,21 @@
         watching: bool,
         store_unreachable: bool,
         revision: int,
+        receiver: digests.Digest | None = None,
     ) -> digests.Digest:
         """Return the digest of this host's state for other entry hosts.
 
+        In a large fleet it has no busy flows, because most of them would have
+        ended before the digest arrived.
+
         :param leaving: whether this host is about to stop as planned.
         :param watching: whether this host watches the store itself.
         :param store_unreachable: whether the store does not answer this host.
         :param revision: store revision of this host's server list.
+        :param receiver: digest of the host that receives this one, None for
+            several receivers.
         """
+        is_large = self.neighbours.is_large_fleet
         return self.neighbours.make_digest(
             self.configuration.generation,
             leaving,
@@ -248,7 +268,8 @@
             store_unreachable,
             self.entries_may_return,
             revision,
-            dict(self.table.busy_counts),
+            {} if is_large else dict(self.table.busy_counts),
+            receiver,
         )
 
     def _update_silent_data_centres(self, now: float) -> None:
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -17,8 +17,12 @@
 RETRY_SECONDS = 1.0
 # Time without a digest after which a host is removed.
 FORGET_SECONDS = 60.0
-# Limit of hosts without a valid digest that receive any one digest.
+# Limits of hosts without a valid digest that receive any one digest, in a
+# small fleet or after the start, and in a large fleet.
 MAX_RETRIED_HOSTS = 4
+LARGE_MAX_RETRIED_HOSTS = 1
+# Time after its start in which a host discovers the others, in seconds.
+DISCOVERY_SECONDS = 3.0
 # Addresses of other hosts that a digest lists, so that hosts discover each
 # other.
 HOSTS_PER_DIGEST = 4
@@ -61,13 +65,15 @@
 
 
 # In a small fleet the digest with a new flow reaches every host within a
-# fraction of the flow's duration. In a large one each host sends 20 to 40
-# datagrams per second, whatever the size of the fleet. In order: period,
-# idle_period, fan_out, remote_fan_out, max_age, silence_timeout.
+# fraction of the flow's duration. In a large one most flows end before their
+# digest could arrive; each host sends five datagrams a second there, whatever
+# the size of the fleet, and more while it discovers the others. In order:
+# period, idle_period, fan_out, remote_fan_out, max_age, silence_timeout.
 SMALL = DigestTiming(
     0.04, 0.1, SMALL_FLEET_MAX_HOSTS, SMALL_FLEET_MAX_HOSTS, 0.5, 0.3
 )
-LARGE = DigestTiming(0.2, 0.4, 6, 2, 2.0, 2.0)
+LARGE = DigestTiming(1.0, 1.0, 4, 1, 20.0, 8.0)
+DISCOVERY = DigestTiming(0.2, 0.2, 6, 2, 20.0, 8.0)
 # In a large fleet a digest is valid for this many rounds through the hosts of
 # the data centre. Each round has a new random order, so nearly two rounds can
 # pass between two digests to the same host.
@@ -161,7 +167,7 @@
     :param own_address: endpoint at which this host receives digests.
     :param data_centre: number that identifies the own data centre.
     :param seeds: addresses that are known from the beginning and never
-        removed before their first digest.
+        removed.
     :param hosts: state by address.
     :param local: hosts of the own data centre with a valid digest.
     :param remote: hosts of other data centres with a valid digest.
@@ -169,6 +175,8 @@
         server.
     :param last_heard: when the last digest of any host of a data centre
         arrived, in monotonic seconds.
+    :param discovering: whether this host has just started and discovers the
+        others.
     :param newest_generation: newest generation that hosts with a valid digest
         have reported, 0 if there is none.
     """
@@ -193,6 +201,8 @@
         self.busy_flows: collections.Counter = collections.Counter()
         self.last_heard: dict[int, float] = {}
         self.newest_generation = 0
+        self.discovering = True
+        self.seeds = frozenset(seeds)
         self.start = rng.getrandbits(32)
         self.sequence = 0
         # Hosts with a valid digest, the one with the oldest digest first.
@@ -202,16 +212,19 @@
         # Hosts without a valid digest, the one that is retried next first.
         self._silent: collections.OrderedDict = collections.OrderedDict()
         # When each of them was last heard or became known, oldest first;
-        # without the seeds that were never heard.
+        # without the seeds.
         self._silent_since: dict[addresses.Address, float] = {}
         self._send_order: list[addresses.Address] = []
+        self._first_tick_at: float | None = None
         for seed in seeds:
             self.add(seed, float("-inf"))
 
     @property
     def timing(self) -> DigestTiming:
         """Return the intervals and limits for the present fleet size."""
-        return LARGE if self.is_large_fleet else SMALL
+        if not self.is_large_fleet:
+            return SMALL
+        return DISCOVERY if self.discovering else LARGE
 
     @property
     def is_large_fleet(self) -> bool:
@@ -260,8 +273,10 @@
             self.add(host, now)
         self.last_heard[digest.data_centre] = now
         is_local = digest.data_centre == self.data_centre
-        if sender == self.own_address or not self._has_room(sender, is_local):
+        if sender == self.own_address:
             return False
+        if sender not in self.hosts and not is_local:
+            self._make_room()
         neighbour = self.hosts.setdefault(sender, Neighbour())
         if _is_outdated(digest, neighbour.digest):
             return False
@@ -285,8 +300,12 @@
         """Remove the busy flows of expired digests from the totals.
 
         Hosts without a digest for ``FORGET_SECONDS`` are removed, except for
-        seeds that never sent one.
+        the seeds, through which a data centre finds the others again after a
+        long partition.
         """
+        if self._first_tick_at is None:
+            self._first_tick_at = now
+        self.discovering = now - self._first_tick_at < DISCOVERY_SECONDS
         self._expire(now)
         while self._silent_since:
             host, since = next(iter(self._silent_since.items()))
@@ -303,8 +322,13 @@
         entries_may_return: bool,
         revision: int,
         busy_flows: dict[int, int],
+        receiver: Digest | None = None,
     ) -> Digest:
-        """Return the next digest of this host, with a new sequence number."""
+        """Return the next digest of this host, with a new sequence number.
+
+        :param receiver: digest of the host that receives this one, None for
+            several receivers. Hosts of its data centre are listed for it.
+        """
         self.sequence += 1
         return Digest(
             self.start,
@@ -317,7 +341,7 @@
             entries_may_return,
             revision,
             busy_flows,
-            tuple(self._hosts_to_list()),
+            tuple(self._hosts_to_list(receiver)),
         )
 
     def valid_hosts(self, now: float) -> list[addresses.Address]:
@@ -359,11 +383,18 @@
         last = self.last_heard.get(data_centre)
         return last is not None and now - last > self.timing.silence_timeout
 
-    def _has_room(self, sender: addresses.Address, is_local: bool) -> bool:
-        """Return whether the state of a sender is kept."""
-        if is_local or sender in self.hosts:
-            return True
-        return len(self.remote) < MAX_REMOTE_HOSTS
+    def _make_room(self) -> None:
+        """Remove a random remote host if there are too many.
+
+        A new one is kept instead and answered, since it may have just started
+        and know no other host yet.
+        """
+        if len(self.remote) < MAX_REMOTE_HOSTS:
+            return
+        (host,) = self.remote.sample(1, self.rng)
+        self._subtract_busy_flows(self.hosts.pop(host))
+        self.remote.discard(host)
+        del self._by_digest_age[host]
 
     def _mark_valid(self, host: addresses.Address, is_local: bool) -> None:
         self._silent.pop(host, None)
@@ -387,7 +418,7 @@
         self.hosts[host].last_retry = float("-inf")
         self._silent[host] = None
         self._silent.move_to_end(host, last=False)
-        if since != float("-inf"):
+        if host not in self.seeds:
             self._silent_since[host] = since
 
     def _expire(self, now: float) -> None:
@@ -418,15 +449,22 @@
         del self._silent[host]
         del self.hosts[host]
 
-    def _hosts_to_list(self) -> list[addresses.Address]:
+    def _hosts_to_list(
+        self, receiver: Digest | None
+    ) -> list[addresses.Address]:
         """Return up to ``HOSTS_PER_DIGEST`` other hosts for a digest.
 
         Half of them at least are local while there are enough.
         """
+        if receiver and receiver.data_centre != self.data_centre:
+            mates = [
+                host
+                for host in self.remote
+                if self.digest(host).data_centre == receiver.data_centre
+            ]
+            return self.rng.sample(mates, min(HOSTS_PER_DIGEST, len(mates)))
         listed = self.local.sample(HOSTS_PER_DIGEST, self.rng)
         others = self.remote.sample(HOSTS_PER_DIGEST // 2, self.rng)
-        if not others:
-            return listed
         return listed[: HOSTS_PER_DIGEST - len(others)] + others
 
     def _next_round_robin(self) -> list[addresses.Address]:
@@ -449,8 +487,11 @@
 
     def _next_retried(self, now: float) -> list[addresses.Address]:
         """Return the silent hosts that get the next digest, in turn."""
+        limit = MAX_RETRIED_HOSTS
+        if self.timing is LARGE:
+            limit = LARGE_MAX_RETRIED_HOSTS
         retried: list[addresses.Address] = []
-        while self._silent and len(retried) < MAX_RETRIED_HOSTS:
+        while self._silent and len(retried) < limit:
             host = next(iter(self._silent))
             neighbour = self.hosts[host]
             if now - neighbour.last_retry < RETRY_SECONDS:
--- a/vanilladrum/core/watchers.py
+++ b/vanilladrum/core/watchers.py
@@ -40,12 +40,6 @@
     :param now: monotonic seconds.
     """
     group = _watch_group(neighbours, now)
-    if (
-        store_answers
-        and has_servers
-        and _count_ranked_before(neighbours, group) < WATCHERS
-    ):
-        return None
     if not has_servers and not group:
         # Hosts of other data centres can send the list as well.
         group = _active_hosts(neighbours, neighbours.valid_hosts(now))
@@ -57,6 +51,14 @@
             [host for host in eligible if neighbours.digest(host).revision],
         )
     watching = [host for host in eligible if neighbours.digest(host).watching]
+    # A new host does not know yet which hosts precede it.
+    may_watch = not (neighbours.discovering and watching)
+    if (
+        may_watch
+        and store_answers
+        and _count_ranked_before(neighbours, eligible) < WATCHERS
+    ):
+        return None
     watching.sort(key=_rank)
     return _pick_by_rank(
         neighbours, watching[: 1 if neighbours.is_large_fleet else WATCHERS]
@@ -75,14 +77,8 @@
     return hosts[_rank(neighbours.own_address) % len(hosts)]
 
 
-def may_have_followers(neighbours: digests.Neighbours, now: float) -> bool:
-    """Return whether other hosts may follow this host if it is a watcher.
-
-    In a small fleet they may follow either watcher, in a large one only the
-    first watcher of the group.
-    """
-    if not neighbours.is_large_fleet:
-        return True
+def is_first(neighbours: digests.Neighbours, now: float) -> bool:
+    """Return whether no other host of the group precedes this one."""
     return _count_ranked_before(neighbours, _watch_group(neighbours, now)) == 0
 
 
--- a/vanilladrum/daemons/digest_exchange.py
+++ b/vanilladrum/daemons/digest_exchange.py
@@ -3,6 +3,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
+from vanilladrum.core import neighbours
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import state_sync as state_syncs
 from vanilladrum.wire import datagrams
@@ -62,13 +63,20 @@
         for host in self.neighbours.receivers(now):
             self.socket.send(datagram, host)
 
-    def _make_datagram(self) -> bytes:
+    def _make_datagram(
+        self, receiver: neighbours.Digest | None = None
+    ) -> bytes:
+        """Return this host's digest.
+
+        :param receiver: digest of the only receiver, None for several.
+        """
         digest = self.core.make_digest(
             self.leaving,
             self.state_sync.source_selector.receives_from_store
             and not self.leaving,
             self.state_sync.store_monitor.unreachable,
             self.state_sync.servers_revision,
+            receiver,
         )
         return digests.encode(digest)
 
@@ -87,4 +95,4 @@
         if self.neighbours.receive(sender, digest, now):
             self.log.event("entry host heard", peer=sender)
             # The sender may be waiting for a host that it can follow.
-            self.socket.send(self._make_datagram(), sender)
+            self.socket.send(self._make_datagram(digest), sender)
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -177,13 +177,14 @@
             self._schedule_tick(
                 min(
                     self.core.next_tick_at(now),
+                    self.state_sync.next_tick_at(now),
                     self.digest_exchange.next_due(),
                 )
             )
 
     def _run_due_work(self, now: float) -> None:
         self.state_sync.tick()
-        for attempt in self.core.tick(now):
+        for attempt in self.core.tick(now, self._read_input()):
             self._log_unanswered_attempt(attempt)
         for server in self.core.due_checks(now):
             self.health_checker.start(server)
@@ -194,6 +195,18 @@
         if self.stop_requested:
             self._stop(now)
 
+    def _read_input(self) -> bool:
+        """Handle the packets that arrived while first packets time out.
+
+        A host that is short of processor time has answers in its socket that
+        it has not read yet.
+
+        :returns: whether all packets were handled.
+        """
+        if self.core.table.oldest_unanswered() is None:
+            return True
+        return self.forwarder.read()
+
     def _schedule_tick(self, due: float) -> None:
         """Schedule a tick unless an earlier one is scheduled.
 
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -32,6 +32,9 @@
 # Delay between a list from the store and the first watch there, in seconds. By
 # then digests have usually arrived that show which host to follow instead.
 SETTLE_SECONDS = 0.2
+# Longest delay in seconds before a host of a large fleet that has just started
+# watches the store, after it was listed.
+MAX_CLAIM_DELAY = 1.0
 # A host that failed or did not forward changes is not followed for at least
 # this long, in seconds.
 AVOID_SECONDS = 2.0
@@ -48,6 +51,9 @@
 SMALL_FLEET_BATCH_DELAY = 0.5
 LARGE_FLEET_BATCH_DELAY = 1.0
 SECOND_WATCHER_BATCH_DELAY = 3.0
+# A host has followers if one of them asked for changes within this time, in
+# seconds; longer than a watch at another entry host.
+FOLLOWER_SECONDS = 3.0
 
 
 class SourceSelector:
@@ -156,7 +162,11 @@
         self.store_monitor.last_answer_at = now
         self._source_lag_start = now
         self.store_monitor.log.event("following", host=chosen or "store")
-        self._restart_list_watchers()
+        delay = 0.0
+        if chosen is None and self._may_find_watcher():
+            delay = self.neighbours.rng.uniform(0.0, MAX_CLAIM_DELAY)
+        for list_watcher in self.list_watchers:
+            list_watcher.restart(delay)
 
     def batch_delay(self) -> float:
         """Return the delay in seconds before the next watch at the store.
@@ -168,8 +178,11 @@
             return 0.0
         if not self.neighbours.is_large_fleet:
             return SMALL_FLEET_BATCH_DELAY
-        first = watchers.may_have_followers(self.neighbours, self.loop.now())
-        return LARGE_FLEET_BATCH_DELAY if first else SECOND_WATCHER_BATCH_DELAY
+        now = self.loop.now()
+        has_followers = now - self.mirror.last_watch_at < FOLLOWER_SECONDS
+        if has_followers or watchers.is_first(self.neighbours, now):
+            return LARGE_FLEET_BATCH_DELAY
+        return SECOND_WATCHER_BATCH_DELAY
 
     def record_success(self, source: stores.Store) -> None:
         """Record an answer of a source; only those of the store matter."""
@@ -197,6 +210,18 @@
             "source avoided", host=host, reason=reason
         )
 
+    def _may_find_watcher(self) -> bool:
+        """Return whether a digest may soon show another host to follow.
+
+        The hosts of a large fleet that start together do not all watch the
+        store then.
+        """
+        return (
+            self.neighbours.discovering
+            and self.neighbours.is_large_fleet
+            and self.has_all_lists
+        )
+
     def _first_lists_pending(self, now: float) -> bool:
         """Return whether the source may still send the first lists."""
         if self.has_all_lists or not self._started:
@@ -302,14 +327,21 @@
         self._cancel: Callable[[], None] = _no_cancel
         source_selector.list_watchers.append(self)
 
-    def restart(self) -> None:
+    def restart(self, delay: float = 0.0) -> None:
         """Cancel the current call and make a new one.
 
         A watch that was sent before the source or its reachability changed
         may never be answered.
+
+        :param delay: seconds until the new call.
         """
         self._cancel()
-        self._call_source()
+        if not delay:
+            self._call_source()
+            return
+        self._cancel = _no_cancel
+        self._call_number += 1
+        self._schedule_call(delay)
 
     def is_receiving(self) -> bool:
         """Return whether data arrived within the last call timeout."""
--- a/vanilladrum/daemons/packet_forwarder.py
+++ b/vanilladrum/daemons/packet_forwarder.py
@@ -51,6 +51,13 @@
         """Start to receive packets, first those waiting in the socket."""
         self.socket.open()
 
+    def read(self) -> bool:
+        """Handle the packets that have arrived.
+
+        :returns: whether all of them were handled.
+        """
+        return self.socket.read()
+
     def close(self) -> None:
         """Close the socket."""
         self.socket.close()
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -17,6 +17,9 @@
 # A starting host waits this long, in seconds, for the digest of a host that it
 # can follow before it lists at the store.
 DISCOVERY_SECONDS = 0.03
+# Longest interval between two ticks while other hosts or this one wait for
+# an answer, in seconds; a fraction of the time that they wait beyond a watch.
+BUSY_TICK_SECONDS = 0.1
 
 
 class StateSync:
@@ -95,6 +98,17 @@
             self.source_selector.tick()
             self.mirror.tick()
 
+    def next_tick_at(self, now: float) -> float:
+        """Return when :meth:`tick` has to be called next, at the latest.
+
+        :param now: monotonic seconds.
+        :returns: monotonic seconds; infinite if nothing is pending.
+        """
+        is_waiting = self.store_monitor.unreachable or not self.is_complete
+        if is_waiting or self.mirror.has_pending_watches:
+            return now + BUSY_TICK_SECONDS
+        return float("inf")
+
     def close(self) -> None:
         """Stop serving other entry hosts."""
         self.endpoint.close()
@@ -140,11 +154,27 @@
             if name not in names:
                 self._remove_server(name)
         for each in listed:
-            self._server_changed(each)
+            self._update_server(each, is_logged=self.has_servers)
         self.has_servers = True
+        self.log.event(
+            "servers listed",
+            servers=len(self.core.directory.servers),
+            revision=self.servers_revision,
+        )
         self._notify_if_known()
 
     def _server_changed(self, changed: objects.StoredObject) -> None:
+        self._update_server(changed, is_logged=True)
+
+    def _update_server(
+        self, changed: objects.StoredObject, is_logged: bool
+    ) -> None:
+        """Apply the entry of a server.
+
+        :param is_logged: whether a change of its state is logged. The first
+            list is logged as a whole, because a line for each of hundreds of
+            servers would delay the first packet.
+        """
         if changed.deleted:
             self._remove_server(changed.name)
             return
@@ -156,6 +186,8 @@
             return
         previous = self.core.directory.servers.get(server.name)
         self.core.directory.update(server)
+        if not is_logged:
+            return
         if previous is None or previous.state is not server.state:
             self.log.event(
                 "server",
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -153,10 +153,13 @@
     """Answers lists and watches from the state that was last received.
 
     :param kinds: state by kind.
+    :param last_watch_at: when another host last asked for changes, monotonic
+        seconds.
     """
 
     def __init__(self, loop: loops.Loop) -> None:
         self.loop = loop
+        self.last_watch_at = float("-inf")
         self.kinds: dict[str, MirroredKind] = collections.defaultdict(
             MirroredKind
         )
@@ -165,6 +168,11 @@
         """Return the store revision of a kind, 0 before the first list."""
         return self.kinds[kind].revision or 0
 
+    @property
+    def has_pending_watches(self) -> bool:
+        """Return whether other hosts wait for changes."""
+        return any(each.pending_watches for each in self.kinds.values())
+
     def replace_all(self, kind: str, listing: stores.Listing) -> None:
         """Replace all objects of a kind.
 
@@ -221,6 +229,7 @@
         except ValueError:
             request.respond(httpd.Response(400))
             return
+        self.last_watch_at = self.loop.now()
         if not mirrored.has_history_since(revision):
             request.respond(_GONE)
             return
--- a/vanilladrum/wire/datagrams.py
+++ b/vanilladrum/wire/datagrams.py
@@ -69,14 +69,23 @@
         self.loop.unwatch(self.sock.fileno())
         self.sock.close()
 
-    def _ready(self, _: int) -> None:
+    def read(self) -> bool:
+        """Pass the datagrams that have arrived to the callback.
+
+        :returns: whether all of them have been read; at most
+            ``MAX_READS_PER_EVENT`` are read at a time.
+        """
         for _ in range(MAX_READS_PER_EVENT):
             try:
                 data, source = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
-                return
+                return True
             except OSError:
                 # An ICMP error for a datagram sent earlier. Timeouts detect
                 # the same failure, so it is ignored.
                 continue
             self.on_datagram(data, source)
+        return False
+
+    def _ready(self, _: int) -> None:
+        self.read()
