--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -298,6 +298,9 @@
         if same_server is not None:
             self.table.resend(flow, same_server, now)
             return flows.Forward(same_server)
+        if flow.answered:
+            # A late copy of the packet that opened the flow.
+            return flows.Ignore("late_first_packet")
         server = self.choose(flow.server.service, now, excluded=flow.server)
         if server is None:
             return flows.Reset("no_server")
--- a/vanilladrum/core/watchers.py
+++ b/vanilladrum/core/watchers.py
@@ -45,10 +45,8 @@
         group = _active_hosts(neighbours, neighbours.valid_hosts(now))
     eligible = [host for host in group if host not in avoided]
     if not has_servers:
-        # Any host that has the server list can send it to a new host.
         return _pick_by_rank(
-            neighbours,
-            [host for host in eligible if neighbours.digest(host).revision],
+            neighbours, _with_recent_list(neighbours, eligible)
         )
     watching = [host for host in eligible if neighbours.digest(host).watching]
     # A new host does not know yet which hosts precede it.
@@ -65,6 +63,25 @@
     )
 
 
+def _with_recent_list(
+    neighbours: digests.Neighbours, hosts: list[addresses.Address]
+) -> list[addresses.Address]:
+    """Return the hosts that may send the server list to a new host.
+
+    These are the half whose lists are the most recent: a host that is cut off
+    may still list servers that have left.
+    """
+    revisions = sorted(
+        (neighbours.digest(host).revision for host in hosts), reverse=True
+    )
+    if not revisions:
+        return []
+    oldest = max(1, revisions[(len(revisions) - 1) // 2])
+    return [
+        host for host in hosts if neighbours.digest(host).revision >= oldest
+    ]
+
+
 def _pick_by_rank(
     neighbours: digests.Neighbours, hosts: list[addresses.Address]
 ) -> addresses.Address | None:
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -395,7 +395,7 @@
             # list watcher is restarted sooner.
             delay = store_monitors.RETRY_DELAYS[-1]
         else:
-            delay = self._apply(outcome)
+            delay = self._apply_or_list_again(outcome)
         self._schedule_call(delay)
 
     def _handle_too_large(self) -> None:
@@ -419,22 +419,39 @@
 
         self.loop.after(delay, call)
 
+    def _apply_or_list_again(
+        self, outcome: stores.Listing | stores.Changes
+    ) -> float:
+        """Apply an answer; after an unexpected error, list again later.
+
+        Otherwise such an error would end the updates for good.
+
+        :returns: the delay before the next call, in seconds.
+        """
+        try:
+            return self._apply(outcome)
+        except Exception:
+            self._needs_listing = True
+            self._schedule_call(store_monitors.RETRY_DELAYS[-1])
+            raise
+
     def _apply(self, outcome: stores.Listing | stores.Changes) -> float:
         """Apply an answer.
 
         :returns: the delay before the next call, in seconds.
         """
         delay = 0.0
+        if outcome.revision < (self.revision or 0):
+            # The source is another host that is behind this one, or sent a
+            # second copy of an earlier answer.
+            self.source_selector.record_failure(
+                self._current_source,
+                errors.PlatformError(
+                    "its answer is older than the one received before"
+                ),
+            )
+            return store_monitors.RETRY_DELAYS[0]
         if isinstance(outcome, stores.Listing):
-            if outcome.revision < (self.revision or 0):
-                # The source is another host that is behind this one.
-                self.source_selector.record_failure(
-                    self._current_source,
-                    errors.PlatformError(
-                        "its list is older than the one received before"
-                    ),
-                )
-                return store_monitors.RETRY_DELAYS[0]
             self._needs_listing = False
             self.source_selector.mirror.replace_all(self.kind, outcome)
             self.on_listing(outcome.objects)
--- a/vanilladrum/daemons/packet_forwarder.py
+++ b/vanilladrum/daemons/packet_forwarder.py
@@ -14,6 +14,9 @@
 from vanilladrum.wire import datagrams
 from vanilladrum.wire import loop as loops
 
+# Limit of the reads of the socket before it is closed.
+MAX_FINAL_READS = 100
+
 
 class PacketForwarder:
     """Receives packets, asks the core for a decision and carries it out.
@@ -59,7 +62,10 @@
         return self.socket.read()
 
     def close(self) -> None:
-        """Close the socket."""
+        """Handle the packets that have arrived and close the socket."""
+        for _ in range(MAX_FINAL_READS):
+            if self.read():
+                break
         self.socket.close()
 
     def _received(self, datagram: bytes, _: tuple[str, int]) -> None:
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -1,5 +1,6 @@
 """Converts the platform's objects to the types of the core."""
 
+import struct
 from typing import Any
 
 from vanilladrum.core import address as addresses
@@ -19,7 +20,15 @@
     "draining": serverstate.ServerState.LEAVING,
 }
 # Errors that a missing or invalid value raises during conversion.
-_CONVERSION_ERRORS = (KeyError, TypeError, ValueError, errors.AddressError)
+_CONVERSION_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    struct.error,
+    errors.AddressError,
+)
 
 
 class StoredObject:
@@ -57,7 +66,11 @@
     try:
         meta = plain["meta"]
         return StoredObject(
-            meta["name"], meta["revision"], plain.get("spec"), deleted, plain
+            _expect_str(meta["name"]),
+            expect_int(meta["revision"]),
+            plain.get("spec"),
+            deleted,
+            plain,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise errors.PlatformError(
@@ -76,18 +89,18 @@
         return backends.Backend(
             name=entry.name,
             wire_id=packet.wire_id(entry.name),
-            started=_expect_int(content.get("born", 0)),
+            started=expect_int(content.get("born", 0)),
             service=_expect_str(content["service"]),
             address=addresses.parse(_expect_str(content["address"])),
             data_centre=_expect_str(content["zone"]),
             # The platform calls the number of slots concurrency.
-            slots=max(1, _expect_int(content["max-concurrency"])),
+            slots=max(1, expect_int(content["max-concurrency"])),
             state=_SERVER_STATES[content["state"]],
             # Remaining warm-up time when the entry was written.
-            warm_up=_expect_int(content.get("warmup-left-ms", 0))
+            warm_up=expect_int(content.get("warmup-left-ms", 0))
             * SECONDS_PER_MS,
         )
-    except (*_CONVERSION_ERRORS, AttributeError) as error:
+    except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
             f"entry {entry.name!r} names no server ({error!r}); it is ignored "
             "until it is corrected"
@@ -105,7 +118,7 @@
         for each in content["routes"]:
             routes_by_address[_route_key(each)] = _route(each)
         return routes.FlowConfiguration(
-            generation=_expect_int(content["version"]),
+            generation=expect_int(content["version"]),
             routes=routes_by_address,
             idle_timeout=content["limits"]["idle-timeout-ms"] * SECONDS_PER_MS,
             health_paths={
@@ -115,7 +128,7 @@
                 for each in content["services"]
             },
         )
-    except (*_CONVERSION_ERRORS, AttributeError) as error:
+    except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
             f"configuration {entry.name!r} cannot be read ({error!r}); the "
             "one in force stays; correct it and apply it again"
@@ -154,7 +167,11 @@
     raise TypeError(f"{value!r} is not a string")
 
 
-def _expect_int(value: object) -> int:
+def expect_int(value: object) -> int:
+    """Return a value that must be an integer.
+
+    :raises TypeError: when it is not.
+    """
     # isinstance would accept bool, a subclass of int.
     if type(value) is int:
         return value
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -5,6 +5,7 @@
 :class:`vanilladrum.core.errors.PlatformError`.
 """
 
+import collections
 from collections.abc import Callable
 import json
 from typing import Any
@@ -18,7 +19,7 @@
 from vanilladrum.wire import loop as loops
 from vanilladrum.wire import stream as streams
 
-# Idle connections that stay open for further calls.
+# Idle connections that stay open for further calls of one kind.
 MAX_IDLE_CONNECTIONS = 2
 # Largest size of a decompressed response, in bytes; eight pages of a list.
 MAX_DECOMPRESSED_BYTES = 8_000_000
@@ -66,6 +67,16 @@
     """Result of a ping that the store has answered."""
 
 
+# Errors that content of another form raises; a document that is nested too
+# deeply raises RecursionError.
+_UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    zlib.error,
+)
 # Callback that receives the result of a call or a PlatformError.
 Done = Callable[[Any], None]
 
@@ -117,6 +128,12 @@
         self.parser = httptools.HttpResponseParser(self)
         self.stream.send(request)
 
+    def on_message_begin(self) -> None:
+        if self.call is None:
+            # A second copy of an answer, or one that nobody asked for. The
+            # next call must not get it.
+            self.stream.close()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"content-encoding":
             self.compressed = value == b"deflate"
@@ -163,7 +180,11 @@
         self.address = address
         self.timeout = timeout
         self.calls = 0
-        self._idle_connections: list[_Connection] = []
+        # By kind: a late second copy of an answer then reaches a call of the
+        # same kind at worst, which sees from the revision that it is old.
+        self._idle_connections: collections.defaultdict[
+            str, list[_Connection]
+        ] = collections.defaultdict(list)
         self._busy_connections: set[_Connection] = set()
 
     def list(self, kind: str, done: Done) -> None:
@@ -204,7 +225,7 @@
                 objects.parse_object(each["object"], each["deleted"])
                 for each in document["events"]
             )
-            return Changes(events, document["store-revision"])
+            return Changes(events, _revision(document))
 
         path = f"/{kind}?watch={revision}&wait-ms={int(wait * 1000)}"
         return self._call("GET", path, read, done, wait=wait)
@@ -233,8 +254,9 @@
 
     def drop_idle(self) -> None:
         """Close the idle connections."""
-        for each in self._idle_connections:
-            each.stream.close()
+        for connections in self._idle_connections.values():
+            for each in connections:
+                each.stream.close()
         self._idle_connections.clear()
 
     def _list_page(
@@ -249,7 +271,7 @@
             page = tuple(
                 objects.parse_object(each) for each in document["items"]
             )
-            return page, document["store-revision"], document["has-more"]
+            return page, _revision(document), document["has-more"]
 
         def next_page(outcome: Any) -> None:
             if isinstance(outcome, errors.PlatformError):
@@ -285,7 +307,7 @@
                 self.drop_idle()
                 done(self._timeout_error(request_line, outcome))
                 return
-            self._release(call.connection)
+            self._release(call.connection, kind)
             done(_read(request_line, outcome, read, allow_not_found))
 
         def check_idle_time(reason: str = "timeout") -> None:
@@ -315,7 +337,8 @@
             self._busy_connections.discard(connection)
             fail("cancelled")
 
-        connection = self._acquire()
+        kind = path.removeprefix("/").partition("?")[0].partition("/")[0]
+        connection = self._acquire(kind)
         call = _Call(on_outcome, connection)
         connection.last_received = float("-inf")
         self._busy_connections.add(connection)
@@ -334,20 +357,22 @@
             f"({reason}); check the network path to it"
         )
 
-    def _acquire(self) -> _Connection:
+    def _acquire(self, kind: str) -> _Connection:
         """Return an idle connection, or a new one if there is none."""
-        while self._idle_connections:
-            connection = self._idle_connections.pop()
+        idle = self._idle_connections[kind]
+        while idle:
+            connection = idle.pop()
             if not connection.stream.ended:
                 return connection
         return _Connection(self.loop, self.address)
 
-    def _release(self, connection: _Connection) -> None:
+    def _release(self, connection: _Connection, kind: str) -> None:
         """Return a connection to the idle ones, or close it."""
         if connection.stream.ended:
             return
-        if len(self._idle_connections) < MAX_IDLE_CONNECTIONS:
-            self._idle_connections.append(connection)
+        idle = self._idle_connections[kind]
+        if len(idle) < MAX_IDLE_CONNECTIONS:
+            idle.append(connection)
             return
         connection.stream.close()
 
@@ -394,20 +419,27 @@
         return read(json.loads(content or b"{}"))
     except errors.PlatformError as error:
         return error
-    except (ValueError, KeyError, TypeError, zlib.error) as error:
+    except _UNREADABLE as error:
         return errors.PlatformError(
             f"the store's answer to {request_line} cannot be read "
             f"({error!r}); check for proxies on the path to the store"
         )
 
 
+def _revision(document: dict) -> int:
+    return objects.expect_int(document["store-revision"])
+
+
 def _decompress(body: bytes) -> bytes:
     """Return the decompressed body.
 
-    :raises ValueError: when it exceeds MAX_DECOMPRESSED_BYTES.
+    :raises ValueError: when it is incomplete or exceeds
+        MAX_DECOMPRESSED_BYTES.
     """
     decompressor = zlib.decompressobj()
     decompressed = decompressor.decompress(body, MAX_DECOMPRESSED_BYTES)
     if decompressor.unconsumed_tail:
         raise ValueError(f"more than {MAX_DECOMPRESSED_BYTES} bytes")
+    if not decompressor.eof:
+        raise ValueError("the compressed body is incomplete")
     return decompressed
