Reset repeatable requests to servers presumed dead; drop an entry whose address is used again

A server is presumed dead after an unanswered first packet, two connections that could not be established, no answer to any caller since, while others answer. Only requests of safe and download routes are reset; what must not run twice waits. A trace also showed a health check at 26.05 s that the next server at the same address answered: the older entry is dropped when a newer server has its address.

Ruled out: resets by data centre (digests may stop because all its hosts were killed while its servers live), and resets after retransmissions alone (a busy server is silent as long).

--- a/tests/test_flowhost.py
+++ b/tests/test_flowhost.py
@@ -350,3 +350,26 @@
             assert decision.server.tag == packet.tag
     elif not opens:
         assert isinstance(decision, flow_types.Ignore)
+
+
+def test_entry_of_a_server_whose_address_is_used_again_is_not_used():
+    """A health check at the address would be answered by the new server."""
+    old = flow_factories.make_server(1, started=1000)
+    new = flow_factories.make_server(2, "patterns", started=9000)
+    new.address = old.address
+    host = flow_factories.make_host([old])
+    host.directory.update(new)
+    host.tick(0.1)
+    assert not host.directory.pool("bookings").servers
+    # Its open flows are still recognized.
+    assert host.directory.find(old.tag) is old
+
+
+def test_late_entry_of_an_old_server_does_not_remove_the_new_one():
+    new = flow_factories.make_server(2, started=9000)
+    old = flow_factories.make_server(1, started=1000)
+    old.address = new.address
+    host = flow_factories.make_host([new])
+    host.directory.update(old)
+    host.tick(0.1)
+    assert new in host.directory.pool("bookings")
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -190,3 +190,68 @@
         assert isinstance(opened, flow_types.Forward)
         found += opened.server.name in healthy
     assert found >= 95
+
+
+def make_dead_server_host(repeatable=True):
+    """Return a host with a dead and a live server, and a caller of each.
+
+    The dead one has left a first packet unanswered, and two connections to
+    it have failed.
+    """
+    dead = flow_factories.make_server(1)
+    host = flow_factories.make_host([dead])
+    route = host.configuration.routes[flow_factories.BOOKINGS.pack()]
+    route.repeatable = repeatable
+    (stuck,) = make_answered_callers(host, 1)
+    live = flow_factories.make_server(2)
+    host.directory.update(live)
+    detector = host.failure_detector
+    detector.record_timeout(dead, 1.0, 1.05)
+    for now in (1.3, 1.55):
+        detector.record_check(dead, False, now, connected=False)
+    detector.record_answer(live, 1.5)
+    return host, stuck, dead
+
+
+def test_request_to_a_dead_server_is_reset_so_that_its_caller_repeats_it():
+    """A server loses power; its long flows have a request every second.
+
+    Each of them used to wait in silence for the caller's time limit.
+    """
+    host, stuck, _ = make_dead_server_host()
+    decision = stuck.send(1.6, has_data=True)
+    assert isinstance(decision, flow_types.Reset)
+    opened = host.receive(flow_factories.make_packet(7), 1.61)
+    assert opened.server.name == "i-00000002"
+
+
+def test_request_that_must_not_run_twice_is_never_reset():
+    _, stuck, dead = make_dead_server_host(repeatable=False)
+    assert stuck.send(1.6, has_data=True).server is dead
+
+
+def test_answer_to_any_caller_shows_that_a_server_lives():
+    host, stuck, dead = make_dead_server_host()
+    host.failure_detector.record_answer(dead, 1.58)
+    assert stuck.send(1.6, has_data=True).server is dead
+
+
+def test_established_connection_shows_that_a_server_lives():
+    """An overloaded server accepts connections but answers late."""
+    host, stuck, dead = make_dead_server_host()
+    host.failure_detector.record_check(dead, False, 1.58, connected=True)
+    assert stuck.send(1.6, has_data=True).server is dead
+
+
+def test_host_that_is_cut_off_itself_resets_no_flow():
+    """No server has answered since the suspicion began."""
+    host, stuck, dead = make_dead_server_host()
+    host.failure_detector.last_answer = 1.0
+    assert stuck.send(1.6, has_data=True).server is dead
+
+
+def test_restarted_server_is_not_taken_for_its_dead_predecessor():
+    host, stuck, _ = make_dead_server_host()
+    restarted = flow_factories.make_server(1, started=5000)
+    host.directory.update(restarted)
+    assert stuck.send(1.6, has_data=True).server is restarted
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -154,12 +154,14 @@
         # the other gets no flows, because their packets could not be
         # distinguished.
         self._by_tag: dict[int, list[Backend]] = {}
+        # Name of the server that was last listed at each address.
+        self._by_address: dict[addresses.Address, str] = {}
 
     def update(self, server: Backend) -> None:
         """Add a server, or replace what is stored about it.
 
-        Cancels the removal of this server. Ends the removal delay of other
-        servers at its address.
+        Cancels the removal of this server. Schedules that of an older server
+        at its address.
         """
         previous = self.servers.get(server.name)
         self.pending_removal.pop(server.name, None)
@@ -171,9 +173,10 @@
         if previous is not None:
             self._remove_from_indexes(previous)
             self._count(previous, -1)
-        if previous is None or previous.address != server.address:
-            self._expire_same_address(server)
+            self._release_address(previous)
+        self._expire_same_address(server)
         self.servers[server.name] = server
+        self._by_address[server.address] = server.name
         self._count(server, 1)
         self._add_to_indexes(server)
 
@@ -211,6 +214,7 @@
         server = self.servers.pop(name, None)
         if server is None:
             return
+        self._release_address(server)
         self.departed[name] = (server, now + self.departed_seconds)
         self._count(server, -1)
         self._update_pool(server.tag)
@@ -250,14 +254,23 @@
         if not self.data_centre_sizes[centre]:
             del self.data_centre_sizes[centre]
 
+    def _release_address(self, server: Backend) -> None:
+        if self._by_address.get(server.address) == server.name:
+            del self._by_address[server.address]
+
     def _expire_same_address(self, server: Backend) -> None:
-        """End the removal delay of servers that had a server's address.
+        """Schedule the removal of the server that had a server's address.
 
-        They must have stopped, because another server uses the address.
+        It must have stopped, because another server uses the address, even
+        if its entry is still there.
         """
-        for name in list(self.pending_removal):
-            if self.servers[name].address == server.address:
-                self.pending_removal[name] = float("-inf")
+        name = self._by_address.get(server.address)
+        if name is None or name == server.name:
+            return
+        if name in self.pending_removal:
+            self.pending_removal[name] = float("-inf")
+        elif self.servers[name].started < server.started:
+            self.pending_removal[name] = float("-inf")
 
     def _add_to_indexes(self, server: Backend) -> None:
         same_tag = self._by_tag.setdefault(server.tag, [])
--- a/vanilladrum/core/failure_detector.py
+++ b/vanilladrum/core/failure_detector.py
@@ -31,6 +31,8 @@
 # its entry hosts either.
 MIN_SILENT_SERVERS = 2
 MIN_SILENT_SERVERS_NO_DIGESTS = 1
+# Failed connections in a row after which a suspect server is presumed dead.
+MIN_FAILED_CONNECTIONS = 2
 # Intervals between health checks of a suspect server, in seconds. The first
 # check is immediate, which resolves a lost packet quickly; an outage of
 # several seconds costs one check a second.
@@ -57,6 +59,9 @@
     :param last_answer: when an answer was last noticed, monotonic seconds.
     :param suspected: whether the server is suspect: it left an attempt
         unanswered, and neither an answer nor a successful check followed.
+    :param suspected_at: when the suspicion began, monotonic seconds.
+    :param failed_connections: health checks since then that could not even
+        connect.
     :param check_index: index of the current interval in CHECK_INTERVALS.
     :param next_check: when the next check is due, monotonic seconds.
     """
@@ -66,6 +71,8 @@
         self.health = healths.Health(EJECTION_LIMITS)
         self.last_answer = float("-inf")
         self.suspected = False
+        self.suspected_at = float("-inf")
+        self.failed_connections = 0
         self.check_index = 0
         self.next_check = float("-inf")
 
@@ -104,6 +111,7 @@
 
     :param records: state by server tag.
     :param suspects: suspect servers by tag.
+    :param last_answer: when any server was last reached, monotonic seconds.
     :param silent_servers: by data centre, the tags of servers with
         unanswered attempts since a server of that data centre was last
         reached.
@@ -114,6 +122,7 @@
     def __init__(self) -> None:
         self.records: dict[int, ServerRecord] = {}
         self.suspects: dict[int, backends.Backend] = {}
+        self.last_answer = float("-inf")
         self.round_trip = RoundTrip()
         self.silent_servers: dict[str, set[int]] = {}
         self.silent_data_centres: set[str] = set()
@@ -136,6 +145,7 @@
         """
         record = self.server_record(server)
         record.last_answer = now
+        self.last_answer = now
         self._clear_suspicion(server, record)
         record.health.record_success()
         self._clear_silent_servers(server)
@@ -156,6 +166,8 @@
             return False
         if not record.suspected:
             record.suspected = True
+            record.suspected_at = now
+            record.failed_connections = 0
             self.suspects[server.tag] = server
             record.check_index = 0
             record.next_check = now
@@ -167,7 +179,11 @@
         return True
 
     def record_check(
-        self, server: backends.Backend, healthy: bool, now: float
+        self,
+        server: backends.Backend,
+        healthy: bool,
+        now: float,
+        connected: bool = True,
     ) -> None:
         """Record the result of a health check of a suspect server.
 
@@ -175,8 +191,15 @@
         centre is reachable. It does not end an ejection, because flows may
         stay unanswered although the server reports itself healthy. It does
         end it if the data centre was considered unreachable until now.
+
+        :param connected: whether the connection was established; also true
+            if the server then answered too late or with an error.
         """
         record = self.server_record(server)
+        if not connected:
+            record.failed_connections += 1
+        elif not healthy:
+            record.failed_connections = 0
         if not healthy:
             return
         self._clear_suspicion(server, record)
@@ -207,6 +230,23 @@
             return silent >= MIN_SILENT_SERVERS_NO_DIGESTS
         return silent >= MIN_SILENT_SERVERS
 
+    def is_presumed_dead(self, server: backends.Backend) -> bool:
+        """Return whether a server is taken to have failed or to be cut off.
+
+        It has left a first packet unanswered and answered no caller since,
+        several connections to it could not be established, and other servers
+        have answered in the meantime, so that this host itself is not the one
+        that is cut off.
+        """
+        record = self.records.get(server.tag)
+        if record is None or record.started != server.started:
+            return False
+        return (
+            record.suspected
+            and record.failed_connections >= MIN_FAILED_CONNECTIONS
+            and self.last_answer > record.suspected_at
+        )
+
     def health_status(
         self, server: backends.Backend, now: float
     ) -> HealthStatus:
--- a/vanilladrum/core/flow.py
+++ b/vanilladrum/core/flow.py
@@ -73,7 +73,10 @@
 
 
 class Reset:
-    """Decision to send a reset, because the flow was not opened.
+    """Decision to send a reset.
+
+    The flow was not opened, or its server no longer exists and its requests
+    may be sent again.
 
     :param reason: counter name, such as ``no_route``.
     """
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -376,8 +376,28 @@
         if server.service not in self.allowed_services[packet.service]:
             return flows.Ignore("wrong_service")
         self._observe(packet, server, route, now)
+        if self._is_hopeless(packet, server, route):
+            return flows.Reset("server_dead")
         return flows.Forward(server)
 
+    def _is_hopeless(
+        self,
+        packet: flows.Packet,
+        server: backends.Backend,
+        route: routes.Route,
+    ) -> bool:
+        """Return whether a request would only wait for a dead server.
+
+        After a reset its caller sends it again at once, on a new flow. A
+        request that must not run twice is never reset, because it may have
+        run before the server failed.
+        """
+        return (
+            packet.has_data
+            and route.repeatable
+            and self.failure_detector.is_presumed_dead(server)
+        )
+
     def _observe(
         self,
         packet: flows.Packet,
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -22,15 +22,22 @@
 
     :param name: name of the route.
     :param shares: services with their weights.
-    :param timeout: seconds after which a caller gives up a flow.
+    :param timeout: seconds after which a caller gives up a request.
+    :param repeatable: whether callers may send its requests again, because
+        they are idempotent.
     """
 
     def __init__(
-        self, name: str, shares: tuple[Share, ...], timeout: float
+        self,
+        name: str,
+        shares: tuple[Share, ...],
+        timeout: float,
+        repeatable: bool = False,
     ) -> None:
         self.name = name
         self.shares = shares
         self.timeout = timeout
+        self.repeatable = repeatable
 
     @property
     def services(self) -> frozenset[str]:
--- a/vanilladrum/daemons/health_checks.py
+++ b/vanilladrum/daemons/health_checks.py
@@ -78,9 +78,10 @@
         stream = self.running.pop(server.tag, None)
         if stream is None:
             return
+        connected = stream.connected
         stream.close()
         self.core.failure_detector.record_check(
-            server, healthy, self.loop.now()
+            server, healthy, self.loop.now(), connected
         )
         self.log.event("server checked", server=server.name, good=healthy)
 
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -15,6 +15,8 @@
 CONFIGURATION_NAME = "main"
 SERVER_KIND = "servers"
 SECONDS_PER_MS = 0.001
+# Types of routes whose requests are idempotent.
+_REPEATABLE_TYPES = ("safe", "download")
 _SERVER_STATES = {
     "ready": serverstate.ServerState.ACTIVE,
     "draining": serverstate.ServerState.LEAVING,
@@ -158,6 +160,7 @@
         name=_expect_str(route["name"]),
         shares=shares,
         timeout=route["timeout-ms"] * SECONDS_PER_MS,
+        repeatable=route.get("type") in _REPEATABLE_TYPES,
     )
 
 
--- a/vanilladrum/platform/packet.py
+++ b/vanilladrum/platform/packet.py
@@ -24,8 +24,7 @@
 ACK = 2
 FIN = 128
 SYN = 64
-# Callers accept a reset with any sequence number and without a checksum.
-ANY_SEQUENCE = 0
+# Callers accept a reset without a checksum.
 _NO_CHECKSUM = 0
 
 
@@ -116,19 +115,22 @@
 
 
 def make_reset(packet: flow.Packet) -> bytes:
-    """Return the reset packet that answers a caller's first packet."""
+    """Return the reset packet that answers a caller's packet.
+
+    Its sequence number is the next one that the caller expects.
+    """
     _, _, sport, dport, source, destination, *_ = HEADER.unpack_from(
         packet.raw
     )
     return HEADER.pack(
-        ANY_SEQUENCE,
+        0 if packet.opens else packet.acknowledged,
         0,  # acknowledgement number
         dport,
         sport,
         destination,
         source,
         _NO_CHECKSUM,
-        0,  # tag: the flow has no server
+        0,  # tag: the flow has no server any more
         RESET,
         0,  # unused
         0,  # length of the payload
