--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -204,7 +204,7 @@
         view.receive(sender, make_digest(data_centre=2, hosts=listed), 0.1)
     assert len(view.remote) <= neighbours.MAX_REMOTE_HOSTS
     assert len(view.hosts) <= 19 + (
-        neighbours.MAX_REMOTE_HOSTS + neighbours.MAX_UNHEARD_HOSTS
+        neighbours.MAX_REMOTE_HOSTS + neighbours.MAX_SILENT_HOSTS
     )
     assert not view.is_silent(2, 0.2)
 
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -17,19 +17,17 @@
 RETRY_SECONDS = 1.0
 # Time without a digest after which a host is removed.
 FORGET_SECONDS = 60.0
-# Limits of hosts without a valid digest that receive any one digest, in a
-# small fleet or after the start, and in a large fleet.
+# Limit of hosts without a valid digest that receive any one digest.
 MAX_RETRIED_HOSTS = 4
-LARGE_MAX_RETRIED_HOSTS = 1
 # Time after its start in which a host discovers the others, in seconds.
 DISCOVERY_SECONDS = 3.0
 # Addresses of other hosts that a digest lists, so that hosts discover each
 # other.
 HOSTS_PER_DIGEST = 4
 # Limit of hosts of other data centres that a host of a large fleet keeps, and
-# of hosts that it has not heard yet.
+# of hosts without a valid digest.
 MAX_REMOTE_HOSTS = 64
-MAX_UNHEARD_HOSTS = 64
+MAX_SILENT_HOSTS = 64
 
 
 class DigestTiming:
@@ -247,11 +245,11 @@
         """Add a host that has not been heard yet.
 
         Known hosts and this host itself are ignored, and all others while
-        ``MAX_UNHEARD_HOSTS`` are silent.
+        there are ``MAX_SILENT_HOSTS``.
         """
         if host == self.own_address or host in self.hosts:
             return
-        if len(self._silent) >= MAX_UNHEARD_HOSTS:
+        if len(self._silent) >= MAX_SILENT_HOSTS:
             return
         self.hosts[host] = Neighbour()
         self.hosts[host].added_at = now
@@ -269,13 +267,14 @@
             intervals anyway.
         """
         self._expire(now)
-        for host in digest.hosts:
-            self.add(host, now)
-        self.last_heard[digest.data_centre] = now
         is_local = digest.data_centre == self.data_centre
+        if is_local or self.discovering or not self.is_large_fleet:
+            for host in digest.hosts:
+                self.add(host, now)
+        self.last_heard[digest.data_centre] = now
         if sender == self.own_address:
             return False
-        if sender not in self.hosts and not is_local:
+        if not is_local and sender not in self.remote:
             self._make_room()
         neighbour = self.hosts.setdefault(sender, Neighbour())
         if _is_outdated(digest, neighbour.digest):
@@ -410,14 +409,13 @@
         other.discard(host)
 
     def _silence(self, host: addresses.Address, since: float) -> None:
-        """Add a host to those without a valid digest; it is retried next.
+        """Add a host to those without a valid digest; it is retried soon.
 
         :param since: when it was last heard or became known, monotonic
             seconds.
         """
         self.hosts[host].last_retry = float("-inf")
         self._silent[host] = None
-        self._silent.move_to_end(host, last=False)
         if host not in self.seeds:
             self._silent_since[host] = since
 
@@ -430,10 +428,15 @@
             if now - neighbour.last_digest_at <= max_age:
                 return
             del self._by_digest_age[host]
+            is_needed = host in self.local or host in self.seeds
             self.local.discard(host)
             self.remote.discard(host)
             self._subtract_busy_flows(neighbour)
-            self._silence(host, neighbour.last_digest_at)
+            if is_needed or not self.is_large_fleet:
+                self._silence(host, neighbour.last_digest_at)
+            else:
+                # Not retried: others of its data centre send digests.
+                self._silent_since[host] = neighbour.last_digest_at
             reported = neighbour.digest.generation if neighbour.digest else 0
             if reported >= self.newest_generation:
                 self._recompute_newest_generation()
@@ -445,16 +448,16 @@
         )
 
     def _forget(self, host: addresses.Address) -> None:
-        del self._silent_since[host]
-        del self._silent[host]
         del self.hosts[host]
+        del self._silent_since[host]
+        self._silent.pop(host, None)
 
     def _hosts_to_list(
         self, receiver: Digest | None
     ) -> list[addresses.Address]:
         """Return up to ``HOSTS_PER_DIGEST`` other hosts for a digest.
 
-        Half of them at least are local while there are enough.
+        Hosts of other data centres are listed if there are few local ones.
         """
         if receiver and receiver.data_centre != self.data_centre:
             mates = [
@@ -464,8 +467,8 @@
             ]
             return self.rng.sample(mates, min(HOSTS_PER_DIGEST, len(mates)))
         listed = self.local.sample(HOSTS_PER_DIGEST, self.rng)
-        others = self.remote.sample(HOSTS_PER_DIGEST // 2, self.rng)
-        return listed[: HOSTS_PER_DIGEST - len(others)] + others
+        missing = HOSTS_PER_DIGEST - len(listed)
+        return listed + self.remote.sample(missing, self.rng)
 
     def _next_round_robin(self) -> list[addresses.Address]:
         """Return the next ``fan_out`` local hosts of the current round.
@@ -487,20 +490,34 @@
 
     def _next_retried(self, now: float) -> list[addresses.Address]:
         """Return the silent hosts that get the next digest, in turn."""
-        limit = MAX_RETRIED_HOSTS
-        if self.timing is LARGE:
-            limit = LARGE_MAX_RETRIED_HOSTS
         retried: list[addresses.Address] = []
-        while self._silent and len(retried) < limit:
+        while self._silent and len(retried) < MAX_RETRIED_HOSTS:
             host = next(iter(self._silent))
             neighbour = self.hosts[host]
             if now - neighbour.last_retry < RETRY_SECONDS:
                 break
+            if self._is_given_up(host):
+                self._forget(host)
+                continue
             neighbour.last_retry = now
             self._silent.move_to_end(host)
             retried.append(host)
         return retried
 
+    def _is_given_up(self, host: addresses.Address) -> bool:
+        """Return whether a host is not worth another digest.
+
+        In a large fleet that is one which was listed by others and did not
+        answer the first digest: it may be in another data centre.
+        """
+        neighbour = self.hosts[host]
+        return (
+            self.is_large_fleet
+            and host not in self.seeds
+            and neighbour.digest is None
+            and neighbour.last_retry != float("-inf")
+        )
+
     def _subtract_busy_flows(self, neighbour: Neighbour) -> None:
         if not neighbour.included:
             return
