--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: run run-flows test lint format model bench clean
+.PHONY: run run-flows test lint format model regression clean
 
 $(STAMP): pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -33,3 +33,10 @@
 
 model: $(STAMP)
 	$(PYTHON) -m model
+
+# Scores site files with the users' bench:
+#     make regression BENCH=PATH SITES="FILE..."
+regression:
+	set -e; for site in $(SITES); do \
+	    $(BENCH) score "$$site" --jobs 3 --why "regression run"; \
+	done
