Keep a seed that makes room for another remote host

Found on reading: a random remote host is removed when there are 64, and if it was a seed it was neither kept nor retried, against what the seeds are for. Neighbour.added_at was no longer read.

--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -221,6 +221,19 @@
     assert newcomer in view.hosts
 
 
+def test_seed_is_kept_when_other_remote_hosts_take_its_place():
+    seed = addresses.Address("10.9.0.1", 7720)
+    view = neighbours.Neighbours(host_at(1), 1, random.Random(1), (seed,))
+    for number in range(2, 20):
+        view.receive(host_at(number), make_digest(), 0.0)
+    view.receive(seed, make_digest(data_centre=2), 0.0)
+    for number in range(1000):
+        sender = addresses.Address(f"10.2.{number // 250}.{number % 250}", 1)
+        view.receive(sender, make_digest(data_centre=2), 0.1)
+    assert seed in view.hosts
+    assert seed in view.remote or seed in view.receivers(0.2)
+
+
 def test_seeds_are_retried_after_a_long_partition():
     seed = host_at(9)
     view = neighbours.Neighbours(host_at(1), 1, random.Random(1), (seed,))
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -39,7 +39,6 @@
     :param last_digest_at: when its last digest arrived.
     :param last_retry: when a digest to it was last due although it had sent
         no valid one.
-    :param added_at: when its address became known, minus infinity for seeds.
     :param included: whether its busy flows are part of the totals.
     """
 
@@ -47,7 +46,6 @@
         self.digest: digests.Digest | None = None
         self.last_digest_at = float("-inf")
         self.last_retry = float("-inf")
-        self.added_at = float("-inf")
         self.included = False
 
 
@@ -147,7 +145,6 @@
         if len(self._silent) >= MAX_SILENT_HOSTS:
             return
         self.hosts[host] = Neighbour()
-        self.hosts[host].added_at = now
         self._silence(host, now)
 
     def receive(
@@ -169,11 +166,11 @@
         self.last_heard[digest.data_centre] = now
         if sender == self.own_address:
             return False
-        if not is_local and sender not in self.remote:
-            self._make_room()
         neighbour = self.hosts.setdefault(sender, Neighbour())
         if digest.is_outdated(neighbour.digest):
             return False
+        if not is_local and sender not in self.remote:
+            self._make_room()
         expired = sender not in self._by_digest_age
         sends_often = is_local or not self.is_large_fleet
         reply_due = (
@@ -286,9 +283,14 @@
         if len(self.remote) < MAX_REMOTE_HOSTS:
             return
         (host,) = self.remote.sample(1, self.rng)
-        self._subtract_busy_flows(self.hosts.pop(host))
-        self.remote.discard(host)
+        neighbour = self.hosts[host]
         del self._by_digest_age[host]
+        self.remote.discard(host)
+        self._subtract_busy_flows(neighbour)
+        if host in self.seeds:
+            self._silence(host, neighbour.last_digest_at)
+        else:
+            del self.hosts[host]
 
     def _mark_valid(self, host: addresses.Address, is_local: bool) -> None:
         self._silent.pop(host, None)
