--- a/bench/fleet_size.py
+++ b/bench/fleet_size.py
@@ -61,9 +61,18 @@
 def make_digest(number: int, sequence: int) -> digest_types.Digest:
     """Return a digest of an entry host of one of the data centres."""
     return digest_types.Digest(
-        number, sequence, number % DATA_CENTRES, 1, False, False, False,
-        False, 5, {}, (),
-    )  # fmt: skip
+        start=number,
+        sequence=sequence,
+        data_centre=number % DATA_CENTRES,
+        generation=1,
+        leaving=False,
+        watching=False,
+        store_unreachable=False,
+        entries_may_return=False,
+        revision=5,
+        busy_flows={},
+        hosts=(),
+    )
 
 
 def host_address(number: int) -> addresses.Address:
@@ -94,7 +103,16 @@
     """Return a first packet from a caller's port."""
     key = port.to_bytes(12, "big")
     return flows.Packet(
-        key, SERVICE_ADDRESS.pack(), True, 0, False, False, 0, 0, 0, b""
+        key=key,
+        service=SERVICE_ADDRESS.pack(),
+        opens=True,
+        copies=0,
+        closes=False,
+        has_data=False,
+        sequence=0,
+        acknowledged=0,
+        tag=0,
+        raw=b"",
     )
 
 
