Show the era of the store's answers in log and metrics

A restored store gives out revisions again, so a revision alone does not say what a host has read.

Store-Era of each answer is read; 'store era' logs a change of it, 'answer refused' each list that is taken as older with its own and the offered revision, and the gauge vanilladrum_store_era shows it. Decisions are unchanged.

--- a/model/watchers.py
+++ b/model/watchers.py
@@ -127,8 +127,8 @@
 class _StubSourceSelector:
     """Test double for the source selector of a list watcher.
 
-    It also takes the place of the store monitor and of the followed host,
-    and records whether the list watcher reported a failure.
+    It also takes the place of the store monitor, of its log and of the
+    followed host, and records whether the list watcher reported a failure.
     """
 
     def __init__(self, mirror: mirrors.Mirror) -> None:
@@ -136,6 +136,7 @@
         self.loop: Any = None
         self.store_monitor: Any = self
         self.store: Any = None
+        self.log: Any = self
         self.list_watchers: list = []
         self.refused = False
         self.followed_host: Any = self
@@ -146,6 +147,12 @@
     def record_success(self, source: object) -> None:
         pass
 
+    def record_era(self, era: int) -> None:
+        pass
+
+    def is_allowed(self, event: str) -> bool:
+        return False
+
     def record_failure(
         self, source: object, error: errors.PlatformError
     ) -> None:
@@ -160,7 +167,7 @@
         self.results: list = []
 
     def _call(self, method, path, read, done, **_):
-        done(read(self.plain))
+        done(read(self.plain, 0))
 
     def listing(self) -> stores.Listing:
         self.list(KIND, self.results.append)
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -28,6 +28,7 @@
 from vanilladrum.daemons import packet_forwarder
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import store_monitor as store_monitors
+from vanilladrum.platform import connection as connections
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
 from vanilladrum.platform import packet as packets
@@ -229,7 +230,10 @@
     )
     assert body.compressed
     outcome = stores._read(
-        "GET", (200, body.body[:-missing], True), lambda d: d, False
+        "GET",
+        connections.Answer(200, body.body[:-missing], True),
+        lambda document, _: document,
+        False,
     )
     assert isinstance(outcome, errors.PlatformError)
 
@@ -389,22 +393,22 @@
     host.tick(0.1)
 
 
+def _make_ok(document):
+    return connections.Answer(200, json.dumps(document).encode())
+
+
 @given(JSON_VALUES)
 @FUZZ_LIMITS
 def test_any_answer_of_the_store_is_read_or_refused(document):
     outcomes = []
     client = stores.Store(loops.Loop(), ANY, 0.3)
     client._call = lambda method, path, read, done, **_: done(
-        stores._read(
-            "GET", (200, json.dumps(document).encode(), False), read, False
-        )
+        stores._read("GET", _make_ok(document), read, False)
     )
     client.list("servers", outcomes.append)
     assert len(outcomes) == 1
     client._call = lambda method, path, read, done, **_: outcomes.append(
-        stores._read(
-            "GET", (200, json.dumps(document).encode(), False), read, False
-        )
+        stores._read("GET", _make_ok(document), read, False)
     )
     client.watch("servers", 1, 0.1, outcomes.append)
     assert len(outcomes) == 2
@@ -412,7 +416,8 @@
 
 def test_deeply_nested_answer_is_refused():
     body = b"[" * 100_000
-    outcome = stores._read("GET", (200, body, False), lambda d: d, False)
+    answer = connections.Answer(200, body)
+    outcome = stores._read("GET", answer, lambda document, _: document, False)
     assert isinstance(outcome, errors.PlatformError)
 
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -154,6 +154,7 @@
         gauges = {
             "ready": float(self.is_ready),
             "store_away": float(self.state_sync.store_monitor.unreachable),
+            "store_era": float(self.state_sync.store_monitor.era),
             "store_calls": float(self.state_sync.store_monitor.store.calls),
             "watching": float(
                 self.state_sync.source_selector.receives_from_store
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -172,7 +172,10 @@
         :returns: the delay before the next call, in seconds.
         """
         delay = 0.0
+        if self._current_source is self.source_selector.store_monitor.store:
+            self.source_selector.store_monitor.record_era(outcome.era)
         if outcome.revision < (self.revision or 0):
+            self._log_refused(outcome)
             # The source is another host that is behind this one, or sent a
             # second copy of an earlier answer.
             self.source_selector.record_failure(
@@ -199,6 +202,19 @@
         self.source_selector.record_success(self._current_source)
         return delay
 
+    def _log_refused(self, outcome: stores.Listing | stores.Changes) -> None:
+        log = self.source_selector.store_monitor.log
+        if not log.is_allowed("answer refused"):
+            return
+        log.event(
+            "answer refused",
+            kind=self.kind,
+            source=self._current_source.address,
+            era=outcome.era,
+            revision=outcome.revision,
+            own_revision=self.revision,
+        )
+
 
 def _no_cancel() -> None:
     """Stand in for the cancel function of a call that has none."""
--- a/vanilladrum/daemons/store_monitor.py
+++ b/vanilladrum/daemons/store_monitor.py
@@ -24,6 +24,7 @@
     :param last_answer_at: when the store last answered, or when this host last
         started or changed its source of updates, in monotonic seconds.
     :param recovered_at: when the last outage ended, in monotonic seconds.
+    :param era: number of restores of the store, 0 before its first answer.
     :param unreachable: whether the last call to the store failed.
     :param watches_store: whether this host watches the store at present; only
         then is an idle store pinged.
@@ -38,6 +39,7 @@
         self.log = log
         self.last_answer_at = float("-inf")
         self.recovered_at = float("-inf")
+        self.era = 0
         self.unreachable = False
         self.watches_store = False
         self.on_recovered: Callable[[], None] = lambda: None
@@ -60,6 +62,13 @@
         self.log.event("store regained")
         self.on_recovered()
 
+    def record_era(self, era: int) -> None:
+        """Record the number of restores that an answer of the store has."""
+        if era == self.era:
+            return
+        self.log.event("store era", era=era, before=self.era)
+        self.era = era
+
     def record_failure(self, error: errors.PlatformError) -> None:
         """Record a failed call to the store and schedule the next ping.
 
@@ -100,9 +109,12 @@
         self._ping_pending = True
         self.store.ping(self._on_ping_result)
 
-    def _on_ping_result(self, outcome: object) -> None:
+    def _on_ping_result(
+        self, outcome: stores.PingReply | errors.PlatformError
+    ) -> None:
         self._ping_pending = False
         if isinstance(outcome, errors.PlatformError):
             self.record_failure(outcome)
-        else:
-            self.record_success()
+            return
+        self.record_era(outcome.era)
+        self.record_success()
--- a/vanilladrum/platform/connection.py
+++ b/vanilladrum/platform/connection.py
@@ -1,7 +1,7 @@
 """One HTTP connection to the platform's store, for one call at a time."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import httptools
 
@@ -11,13 +11,29 @@
 
 # Callback that receives the result of a call or a PlatformError.
 Done = Callable[[Any], None]
+# The store's header with the number of its restores.
+ERA_HEADER = "Store-Era"
+_ERA_HEADER_LOWER = ERA_HEADER.lower().encode()
+
+
+class Answer(NamedTuple):
+    """The response to a call.
+
+    :param compressed: whether the body is compressed.
+    :param era: number of the store's restores, 0 if the response has none.
+    """
+
+    status: int
+    body: bytes
+    compressed: bool = False
+    era: int = 0
 
 
 class Call:
     """A call in progress.
 
-    :param done: called once, with the response as a tuple of status, body
-        and compression flag, or with the reason of a failure as text.
+    :param done: called once, with the :class:`Answer` or with the reason of
+        a failure as text.
     """
 
     def __init__(self, done: Done, connection: "Connection") -> None:
@@ -39,6 +55,7 @@
     The parser calls the ``on_`` methods.
 
     :param compressed: whether the body of the response is compressed.
+    :param era: the response's number of restores of the store.
     :param last_received: when data last arrived, monotonic seconds.
     """
 
@@ -46,6 +63,7 @@
         self.call: Call | None = None
         self.body = b""
         self.compressed = False
+        self.era = 0
         self.last_received = float("-inf")
         self.loop = loop
         self.parser = httptools.HttpResponseParser(self)
@@ -57,6 +75,7 @@
         self.call = call
         self.body = b""
         self.compressed = False
+        self.era = 0
         self.parser = httptools.HttpResponseParser(self)
         self.stream.send(request)
 
@@ -67,8 +86,11 @@
             self.stream.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"content-encoding":
+        lower = name.lower()
+        if lower == b"content-encoding":
             self.compressed = value == b"deflate"
+        elif lower == _ERA_HEADER_LOWER:
+            self.era = int(value)
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -79,7 +101,7 @@
             self.stream.close()
         if call is not None:
             status = self.parser.get_status_code()
-            call.finish((status, self.body, self.compressed))
+            call.finish(Answer(status, self.body, self.compressed, self.era))
 
     def _received(self, data: bytes) -> None:
         self.last_received = self.loop.now()
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -38,13 +38,18 @@
 
     :param listed: the objects, as attribute ``objects``.
     :param revision: store revision at the first page of the list.
+    :param era: number of restores of the store at the first page.
     """
 
     def __init__(
-        self, listed: tuple[objects.StoredObject, ...], revision: int
+        self,
+        listed: tuple[objects.StoredObject, ...],
+        revision: int,
+        era: int = 0,
     ) -> None:
         self.objects = listed
         self.revision = revision
+        self.era = era
 
 
 class Changes:
@@ -52,17 +57,32 @@
 
     :param changed: the objects, as attribute ``objects``.
     :param revision: store revision from which the next watch starts.
+    :param era: number of restores of the store.
     """
 
     def __init__(
-        self, changed: tuple[objects.StoredObject, ...], revision: int
+        self,
+        changed: tuple[objects.StoredObject, ...],
+        revision: int,
+        era: int = 0,
     ) -> None:
         self.objects = changed
         self.revision = revision
+        self.era = era
 
 
 class PingReply:
-    """Result of a ping that the store has answered."""
+    """Result of a ping that the store has answered.
+
+    :param era: number of restores of the store.
+    """
+
+    def __init__(self, era: int = 0) -> None:
+        self.era = era
+
+
+# Converts the decoded JSON document and the era of an answer to its value.
+Reader = Callable[[dict, int], object]
 
 
 # Errors that content of another form raises; a document that is nested too
@@ -109,7 +129,7 @@
 
         :param done: called with a :class:`Listing` or a PlatformError.
         """
-        self._list_page(kind, "", (), None, done)
+        self._list_page(kind, "", None, done)
 
     def list_unlimited(self, kind: str, done: connections.Done) -> None:
         """List all objects of a kind at an entry host, whatever the size.
@@ -119,7 +139,7 @@
 
         :param done: called with a :class:`Listing` or a PlatformError.
         """
-        self._list_page(f"{kind}?{WHOLE_PARAMETER}=1", "", (), None, done)
+        self._list_page(f"{kind}?{WHOLE_PARAMETER}=1", "", None, done)
 
     def watch(
         self, kind: str, revision: int, wait: float, done: connections.Done
@@ -134,12 +154,12 @@
             afterwards.
         """
 
-        def read(document: dict) -> Changes:
+        def read(document: dict, era: int) -> Changes:
             events = tuple(
                 objects.parse_object(each["object"], each["deleted"])
                 for each in document["events"]
             )
-            return Changes(events, _revision(document))
+            return Changes(events, _revision(document), era)
 
         path = f"/{kind}?watch={revision}&wait-ms={int(wait * 1000)}"
         return self._call("GET", path, read, done, wait=wait)
@@ -152,7 +172,11 @@
         kind = objects.CONFIGURATION_KIND
         path = f"/{kind}/{objects.CONFIGURATION_NAME}?allow-stale=1"
         self._call(
-            "GET", path, lambda _: PingReply(), done, allow_not_found=True
+            "GET",
+            path,
+            lambda _, era: PingReply(era),
+            done,
+            allow_not_found=True,
         )
 
     def is_receiving(self) -> bool:
@@ -177,27 +201,27 @@
         self,
         kind: str,
         after: str,
-        previous: tuple[objects.StoredObject, ...],
-        revision: int | None,
+        previous: Listing | None,
         done: connections.Done,
     ) -> None:
-        def read(document: dict) -> tuple[tuple, int, bool]:
+        def read(document: dict, era: int) -> tuple[Listing, bool]:
             page = tuple(
                 objects.parse_object(each) for each in document["items"]
             )
-            return page, _revision(document), document["has-more"]
+            listing = Listing(page, _revision(document), era)
+            return listing, document["has-more"]
 
         def next_page(outcome: Any) -> None:
             if isinstance(outcome, errors.PlatformError):
                 done(outcome)
                 return
-            page, page_revision, more = outcome
-            first = page_revision if revision is None else revision
-            collected = previous + page
-            if more and page:
-                self._list_page(kind, page[-1].name, collected, first, done)
+            page, more = outcome
+            collected = _append_page(previous, page)
+            if more and page.objects:
+                last_name = page.objects[-1].name
+                self._list_page(kind, last_name, collected, done)
                 return
-            done(Listing(collected, first))
+            done(collected)
 
         query = f"?after={after}" if after else ""
         self._call("GET", f"/{kind}{query}", read, next_page)
@@ -206,7 +230,7 @@
         self,
         method: str,
         path: str,
-        read: Callable[[dict], object],
+        read: Reader,
         done: connections.Done,
         wait: float = 0.0,
         allow_not_found: bool = False,
@@ -291,18 +315,26 @@
         connection.stream.close()
 
 
+def _append_page(previous: Listing | None, page: Listing) -> Listing:
+    """Return a listing with one more page.
+
+    :param previous: the pages before, None for the first one.
+    """
+    if previous is None:
+        return page
+    return Listing(
+        previous.objects + page.objects, previous.revision, previous.era
+    )
+
+
 def _read(
     request_line: str,
-    answer: tuple[int, bytes, bool],
-    read: Callable[[dict], object],
+    answer: connections.Answer,
+    read: Reader,
     allow_not_found: bool,
 ) -> object:
-    """Return the value that an answer contains, or a PlatformError.
-
-    :param answer: status, body, and whether the body is compressed.
-    :param read: converts the decoded JSON document to the value.
-    """
-    status, body, compressed = answer
+    """Return the value that an answer contains, or a PlatformError."""
+    status, body, compressed, era = answer
     if status in _UNAVAILABLE:
         return errors.StoreRejectedError(
             f"the store answered {status} to {request_line} and did nothing; "
@@ -330,7 +362,7 @@
         )
     try:
         content = _decompress(body) if compressed else body
-        return read(json.loads(content or b"{}"))
+        return read(json.loads(content or b"{}"), era)
     except errors.PlatformError as error:
         return error
     except _UNREADABLE as error:
