Reproduce the faults of a restored store on processes

The store stand-in can be restored from a copy: it goes back to the copy's revision, begins a new era, cuts waiting watches off and answers watches from revisions that it does not have with 410.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -92,6 +92,7 @@
     :param ports: four port numbers: of flow packets, of readiness probes and
         servers, of peers, and of the store.
     :param generation: version of the last configuration.
+    :param configuration: the last configuration as written to the store.
     """
 
     folder: pathlib.Path
@@ -105,6 +106,7 @@
         factory=lambda: [free_port() for _ in range(4)]
     )
     generation: int = 1
+    configuration: dict | None = None
     router: flow_caller.Router | None = None
     caller: flow_caller.FlowCaller | None = None
     runner: web.AppRunner | None = None
@@ -201,8 +203,15 @@
             ],
             "limits": {"idle-timeout-ms": 15000},
         }
+        self.configuration = spec
         await self.store.put("config", "main", spec)
 
+    async def write_again(self) -> None:
+        """Write what a restore of the store may have lost."""
+        for server in self.servers:
+            await self.store.put("servers", server.name, server.store_entry())
+        await self.store.put("config", "main", self.configuration)
+
     def make_host(self, number: int) -> EntryHost:
         """Write the settings of an entry host and return it, not started."""
         ip = f"127.2.0.{number}"
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -25,6 +25,7 @@
     :param service_seconds: service time of a request.
     :param silent: whether it ignores all packets.
     :param draining: whether its store entry says that it is draining.
+    :param entries_written: number of entries that it wrote to the store.
     :param executed_ids: ids of the executed requests.
     :param flows_opened_while_draining: number of flows opened while
         draining.
@@ -40,6 +41,7 @@
     service_seconds: float = 0.005
     silent: bool = False
     draining: bool = False
+    entries_written: int = 0
     executed_ids: list[str] = attrs.field(factory=list)
     flows_opened_while_draining: int = 0
     corrupted_packets: int = 0
@@ -56,7 +58,8 @@
         )
 
     def store_entry(self) -> dict:
-        """Return the server's entry for the store."""
+        """Return the server's next entry for the store."""
+        self.entries_written += 1
         return {
             "service": self.service,
             "address": str(self.address),
@@ -65,7 +68,7 @@
             "max-concurrency": 4,
             "state": "draining" if self.draining else "ready",
             "warmup-left-ms": 0,
-            "sequence": 1,
+            "sequence": self.entries_written,
             "born": 1,
         }
 
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import collections
+import copy
 import enum
 
 from aiohttp import web
 import attrs
 
 PAGE_SIZE = 50
+ERA_HEADER = "Store-Era"
 
 
 class InjectedFault(enum.Enum):
@@ -38,10 +40,24 @@
     }
 
 
+@attrs.frozen
+class StoreCopy:
+    """A backup copy of the store.
+
+    :param history_start: lowest revision that a watch may start from.
+    """
+
+    revision: int
+    kinds: dict[str, dict[str, dict]]
+    history: tuple[tuple[int, str, dict, bool], ...]
+    history_start: int
+
+
 @attrs.define(eq=False)
 class ObjectStore:
     """Objects by kind and name with one revision counter.
 
+    :param era: number of restores; it is sent with all answers.
     :param history: changes available to watches, each as revision, kind,
         object and whether it was deleted.
     :param history_start: lowest revision that a watch may start from.
@@ -58,6 +74,7 @@
     )
     history: list[tuple[int, str, dict, bool]] = attrs.field(factory=list)
     history_start: int = 0
+    era: int = 1
     injected_fault: InjectedFault = InjectedFault.NONE
     rejected_hosts: frozenset[str] = frozenset()
     calls: collections.Counter = attrs.field(factory=collections.Counter)
@@ -85,6 +102,31 @@
         self.history.clear()
         self.history_start = self.revision
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored later."""
+        return StoreCopy(
+            self.revision,
+            copy.deepcopy(dict(self.kinds)),
+            copy.deepcopy(tuple(self.history)),
+            self.history_start,
+        )
+
+    async def restore(self, earlier: StoreCopy) -> None:
+        """Go back to an earlier copy and begin the next era.
+
+        What was written since then is lost, and its revisions are given out
+        again. Watches that wait are cut off.
+        """
+        self.era += 1
+        self.revision = earlier.revision
+        self.kinds = collections.defaultdict(
+            dict, copy.deepcopy(earlier.kinds)
+        )
+        self.history = copy.deepcopy(list(earlier.history))
+        self.history_start = earlier.history_start
+        async with self.changed:
+            self.changed.notify_all()
+
     async def _record_change(
         self, kind: str, stored: dict, deleted: bool
     ) -> None:
@@ -97,8 +139,14 @@
         app = web.Application()
         app.router.add_get("/vanilladrum/objects/{kind}", self._list)
         app.router.add_get("/vanilladrum/objects/{kind}/{name}", self._get)
+        app.on_response_prepare.append(self._add_era)
         return app
 
+    async def _add_era(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[ERA_HEADER] = str(self.era)
+
     async def _inject_fault(self, request: web.Request, call: str) -> None:
         self.calls[call] += 1
         affected = (
@@ -139,14 +187,17 @@
         since = int(request.query["watch"])
         wait = int(request.query["wait-ms"]) / 1000
         kind = request.match_info["kind"]
-        if since < self.history_start:
+        if not self.history_start <= since <= self.revision:
             raise web.HTTPGone(text="{}")
+        era = self.era
         try:
             async with asyncio.timeout(wait), self.changed:
-                while not self._events(kind, since):
+                while era == self.era and not self._events(kind, since):
                     await self.changed.wait()
         except TimeoutError:
             pass
+        if era != self.era:
+            _abort(request)
         await self._inject_fault(request, "answer")
         body = {
             "events": self._events(kind, since),
