--- a/bench/choices.py
+++ b/bench/choices.py
@@ -20,6 +20,7 @@
 from vanilladrum.core import digest as digest_types
 from vanilladrum.core import flowhost
 from vanilladrum.core import neighbours
+from vanilladrum.core import position as positions
 from vanilladrum.core import serverstate
 
 HOST_COUNT = 5
@@ -123,7 +124,9 @@
         """Exchange digests between all hosts and schedule the next ones."""
         now = self.run.now
         for host in self.hosts:
-            digest = host.make_digest(False, False, False, 1)
+            digest = host.make_digest(
+                False, False, False, positions.StorePosition(1, 1)
+            )
             for other in self.hosts:
                 if other is not host:
                     other.neighbours.receive(
--- a/model/__main__.py
+++ b/model/__main__.py
@@ -73,6 +73,23 @@
     return True
 
 
+def check_restored_store() -> list[bool]:
+    """Check the model of the watchers with restores, and its mutants.
+
+    :returns: whether each check passed.
+    """
+    rules = watchers.Rules()
+    results = [
+        check_safety(watchers.protocol(rules, 2, 1, 1)),
+        check_liveness(watchers.protocol(rules, 1, 1, 0)),
+    ]
+    for rules in watchers.RESTORE_MUTANTS:
+        later_changes = 0 if rules.breaks == "liveness" else 1
+        mutant = watchers.protocol(rules, 1, 1, later_changes)
+        results.append(catches(mutant, rules.breaks))
+    return results
+
+
 def main() -> int:
     """Check all models and mutants and return the exit code."""
     ownership_rules = ownership.Rules()
@@ -95,6 +112,7 @@
     results.append(check_safety(watchers.protocol(watchers.Rules())))
     for rules in watchers.MUTANTS:
         results.append(catches(watchers.protocol(rules, 3), rules.breaks))
+    results += check_restored_store()
     return 0 if all(results) else 1
 
 
--- a/model/watchers.py
+++ b/model/watchers.py
@@ -1,10 +1,11 @@
 """Model of how store changes propagate to entry hosts and between them.
 
-The store changes and compacts its history. Any host may send a request to
-the store or to any other host at any time, so that every change of the
-watching hosts, every disconnection and every return is covered. An answer may
-arrive late, twice or never. The production list watcher decides what a host
-accepts, and the production mirror what it passes on.
+The store changes, compacts its history and is restored from an earlier copy;
+it then gives out revisions again for other changes. Any host may send a
+request to the store or to any other host at any time, so that every change of
+the watching hosts, every disconnection and every return is covered. An answer
+may arrive late, twice or never. The production list watcher decides what a
+host accepts, and the production mirror what it passes on.
 """
 
 from collections.abc import Iterator
@@ -15,6 +16,7 @@
 
 from model import stepping
 from vanilladrum.core import errors
+from vanilladrum.core import position as positions
 from vanilladrum.daemons import list_watch
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
@@ -23,9 +25,12 @@
 
 HOST_COUNT = 2
 KIND = "servers"
-# Successive changes of the store: the name of an object and whether it is
-# deleted. Name "a" is reused after its deletion.
+# Successive changes of the store in its first era and in later ones: the name
+# of an object and whether it is deleted. Name "a" is reused after it was
+# deleted.
 STORE_EVENTS = (("a", False), ("a", True), ("b", False), ("a", False))
+RESTORED_EVENTS = (("c", False), ("d", False), ("c", True), ("e", False))
+FIRST_ERA = 1
 # Source number of the store; the other sources are numbers of entry hosts.
 STORE_SOURCE = -1
 
@@ -41,12 +46,13 @@
 class Answer:
     """An answer in transit: a listing, changes, or an error.
 
+    :param position: position of the source.
     :param listed: all objects of a listing, None for changes.
     :param history_gone: whether the answer is the error that the requested
         history is no longer available.
     """
 
-    revision: int
+    position: positions.StorePosition
     listed: Objects | None = None
     events: tuple[Event, ...] = ()
     history_gone: bool = False
@@ -56,18 +62,19 @@
 class Host:
     """State of an entry host and the answers that may still reach it.
 
-    :param revision: store revision that the host has reached.
+    :param position: position of the store that the host has reached.
     :param relist: whether the host's next request is for a listing.
-    :param view: objects of the store at that revision, as the host has
+    :param view: objects of the store at that position, as the host has
         received them.
-    :param history_start: revision since which its history is complete.
+    :param history_start: revision of the same era since which its history is
+        complete.
     :param history: changes that the host can pass on, oldest first.
     :param pending: the answer that it waits for.
     :param delayed: an earlier answer that may arrive late or twice.
     :param reverted: whether it accepted a state older than its own.
     """
 
-    revision: int | None = None
+    position: positions.StorePosition | None = None
     relist: bool = True
     view: Objects = ()
     history_start: int = 0
@@ -81,13 +88,21 @@
 class State:
     """State of the store and the hosts.
 
+    :param restored_to: revision of the copy that begins each later era.
     :param compacted_revision: revision up to which the store has no history.
     """
 
     revision: int = 0
+    restored_to: tuple[int, ...] = ()
     compacted_revision: int = 0
     hosts: tuple[Host, ...] = (Host(),) * HOST_COUNT
 
+    @property
+    def position(self) -> positions.StorePosition:
+        """Return the position of the store."""
+        era = FIRST_ERA + len(self.restored_to)
+        return positions.StorePosition(era, self.revision)
+
 
 @attrs.frozen
 class Rules:
@@ -107,10 +122,30 @@
     receives_delayed: bool = False
 
 
-def objects_at(revision: int) -> Objects:
-    """Return the objects in the store at a revision."""
+def events_until(
+    restored_to: tuple[int, ...], position: positions.StorePosition
+) -> list[Event]:
+    """Return the changes that led to a position.
+
+    :param restored_to: revision of the copy that begins each later era.
+    """
+    kept = restored_to[: position.era - FIRST_ERA]
+    events = list(STORE_EVENTS)
+    for revision in kept:
+        events = events[:revision] + list(RESTORED_EVENTS[revision:])
+    return [
+        (name, at, deleted)
+        for at, (name, deleted) in enumerate(events, start=1)
+        if at <= position.revision
+    ]
+
+
+def objects_at(
+    restored_to: tuple[int, ...], position: positions.StorePosition
+) -> Objects:
+    """Return the objects in the store at a position."""
     revisions: dict[str, int] = {}
-    for at, (name, deleted) in enumerate(STORE_EVENTS[:revision], start=1):
+    for name, at, deleted in events_until(restored_to, position):
         revisions.pop(name, None)
         if not deleted:
             revisions[name] = at
@@ -127,20 +162,28 @@
 class _StubSourceSelector:
     """Test double for the source selector of a list watcher.
 
-    It also takes the place of the store monitor, of its log and of the
-    followed host, and records whether the list watcher reported a failure.
+    It also takes the place of the store monitor, of its log, of the store
+    and of the followed host, and records whether the list watcher reported a
+    failure.
     """
 
-    def __init__(self, mirror: mirrors.Mirror) -> None:
+    is_mirror = False
+    address = None
+
+    def __init__(self, mirror: mirrors.Mirror, era: int) -> None:
         self.mirror = mirror
-        self.loop: Any = None
+        self.era = era
+        self.loop: Any = self
         self.store_monitor: Any = self
-        self.store: Any = None
+        self.store: Any = self
         self.log: Any = self
         self.list_watchers: list = []
         self.refused = False
         self.followed_host: Any = self
 
+    def now(self) -> float:
+        return 0.0
+
     def batch_delay(self) -> float:
         return 0.0
 
@@ -162,32 +205,43 @@
 class _StubStore(stores.Store):
     """Production client whose calls are all answered with a given object."""
 
-    def __init__(self, plain: dict) -> None:
+    is_mirror = True
+
+    def __init__(self, plain: dict, era: int) -> None:
         self.plain = plain
+        self.era = era
         self.results: list = []
 
     def _call(self, method, path, read, done, **_):
-        done(read(self.plain, 0))
+        done(read(self.plain, self.era))
 
     def listing(self) -> stores.Listing:
         self.list(KIND, self.results.append)
         return self.results.pop()
 
     def changes(self) -> stores.Changes:
-        self.watch(KIND, 0, 0.0, self.results.append)
+        self.watch(KIND, positions.START, 0.0, self.results.append)
         return self.results.pop()
 
 
 @attrs.frozen
 class WatcherModel:
-    """State transitions of the model for a set of rules."""
+    """State transitions of the model for a set of rules.
+
+    :param changes: maximum revision of the store before its first restore.
+    :param restores: maximum number of restores of the store.
+    :param later_changes: maximum revision of the restored store.
+    """
 
     rules: Rules
     changes: int = len(STORE_EVENTS)
+    restores: int = 0
+    later_changes: int = len(STORE_EVENTS)
 
     def steps(self, state: State) -> Iterator[tuple[str, State]]:
         """Yield the label and next state of every enabled transition."""
-        if state.revision < self.changes:
+        limit = self.later_changes if state.restored_to else self.changes
+        if state.revision < limit:
             yield (
                 "store changes",
                 attrs.evolve(state, revision=state.revision + 1),
@@ -197,10 +251,25 @@
                 "store compacts its history",
                 attrs.evolve(state, compacted_revision=state.revision),
             )
+        yield from self._restore_steps(state)
         for number, host in enumerate(state.hosts):
             yield from self._request_steps(state, number, host)
             yield from self._response_steps(state, number, host)
 
+    def _restore_steps(self, state: State) -> Iterator[tuple[str, State]]:
+        if len(state.restored_to) == self.restores:
+            return
+        for revision in range(state.revision):
+            yield (
+                f"store is restored to {revision}",
+                attrs.evolve(
+                    state,
+                    revision=revision,
+                    restored_to=(*state.restored_to, revision),
+                    compacted_revision=min(state.compacted_revision, revision),
+                ),
+            )
+
     def _request_steps(
         self, state: State, number: int, host: Host
     ) -> Iterator[tuple[str, State]]:
@@ -227,32 +296,35 @@
         if source == STORE_SOURCE:
             return self._make_store_answer(state, host)
         kind = self._make_kind(state.hosts[source])
-        if kind.revision is None:
+        if kind.position is None:
             return None
-        if host.relist or host.revision is None:
-            listing = _StubStore(kind.list_document()).listing()
+        if host.relist or host.position is None:
+            listing = _StubStore(kind.list_document(), kind.era).listing()
             listed = [(each.name, each.revision) for each in listing.objects]
-            return Answer(listing.revision, tuple(sorted(listed)))
-        if not kind.has_history_since(host.revision):
-            return Answer(0, history_gone=True)
-        changes = _StubStore(kind.changes_document(host.revision)).changes()
+            return Answer(listing.position, tuple(sorted(listed)))
+        if not kind.has_history_since(host.position):
+            return Answer(positions.START, history_gone=True)
+        document = kind.changes_document(host.position.revision)
+        changes = _StubStore(document, kind.era).changes()
         events = tuple(
             (each.name, each.revision, each.deleted)
             for each in changes.objects
         )
-        return Answer(changes.revision, events=events)
+        return Answer(changes.position, events=events)
 
     def _make_store_answer(self, state: State, host: Host) -> Answer:
-        if host.relist or host.revision is None:
-            return Answer(state.revision, objects_at(state.revision))
-        if host.revision < state.compacted_revision:
-            return Answer(0, history_gone=True)
+        if host.relist or host.position is None:
+            listed = objects_at(state.restored_to, state.position)
+            return Answer(state.position, listed)
+        since = host.position.revision
+        if not state.compacted_revision <= since <= state.revision:
+            return Answer(positions.START, history_gone=True)
         events = [
-            (name, at, deleted)
-            for at, (name, deleted) in enumerate(STORE_EVENTS, start=1)
-            if host.revision < at <= state.revision
+            each
+            for each in events_until(state.restored_to, state.position)
+            if each[1] > since
         ]
-        return Answer(state.revision, events=tuple(events))
+        return Answer(state.position, events=tuple(events))
 
     def _response_steps(
         self, state: State, number: int, host: Host
@@ -276,7 +348,8 @@
             return attrs.evolve(host, relist=True)
         mirror = mirrors.Mirror(loop=None)  # type: ignore[arg-type]
         mirror.kinds[KIND] = self._make_kind(host)
-        source_selector = _StubSourceSelector(mirror)
+        old_position = host.position or positions.START
+        source_selector = _StubSourceSelector(mirror, old_position.era)
         view = dict(host.view)
         list_watcher = self.rules.list_watcher(
             source_selector,  # type: ignore[arg-type]
@@ -284,14 +357,13 @@
             lambda listed: _apply_listing(view, listed),
             lambda changed: _apply_change(view, changed),
         )
-        list_watcher.revision = host.revision
+        list_watcher.position = host.position
         list_watcher._needs_listing = host.relist
         list_watcher._apply(_make_outcome(answer))
         kind = mirror.kinds[KIND]
-        old_revision = host.revision or 0
         return attrs.evolve(
             host,
-            revision=list_watcher.revision,
+            position=list_watcher.position,
             relist=list_watcher._needs_listing,
             view=tuple(sorted(view.items())),
             history_start=kind.history_start,
@@ -300,13 +372,13 @@
                 for name, (at, plain, deleted) in kind.history.items()
             ),
             reverted=host.reverted
-            or (list_watcher.revision or 0) < old_revision,
+            or (list_watcher.position or positions.START) < old_position,
         )
 
     def _make_kind(self, host: Host) -> mirrors.MirroredKind:
         """Build the production mirror's object from a host's state."""
         kind = self.rules.kind()
-        kind.revision = host.revision
+        kind.position = host.position
         kind.history_start = host.history_start
         kind.raw_objects = {
             name: _make_stored(name, at, False).plain for name, at in host.view
@@ -326,9 +398,13 @@
 def _make_outcome(answer: Answer) -> stores.Listing | stores.Changes:
     if answer.listed is not None:
         listed = tuple(_make_stored(*each, False) for each in answer.listed)
-        return stores.Listing(listed, answer.revision)
+        return stores.Listing(
+            listed, answer.position.revision, answer.position.era
+        )
     changed = tuple(_make_stored(*each) for each in answer.events)
-    return stores.Changes(changed, answer.revision)
+    return stores.Changes(
+        changed, answer.position.revision, answer.position.era
+    )
 
 
 def _apply_listing(
@@ -346,11 +422,12 @@
 
 
 def no_gap(fields: dict) -> bool:
-    """A host at a revision has exactly the store's objects at it."""
+    """A host at a position has exactly the store's objects at it."""
+    state = fields["state"]
     return all(
-        host.view == objects_at(host.revision)
-        for host in fields["state"].hosts
-        if host.revision is not None
+        host.view == objects_at(state.restored_to, host.position)
+        for host in state.hosts
+        if host.position is not None
     )
 
 
@@ -360,15 +437,18 @@
 
 
 def nothing_invented(fields: dict) -> bool:
-    """No host is at a revision that the store hasn't reached."""
+    """No host is at a position that the store hasn't reached."""
     state = fields["state"]
-    return all((host.revision or 0) <= state.revision for host in state.hosts)
+    return all(
+        (host.position or positions.START) <= state.position
+        for host in state.hosts
+    )
 
 
 def all_hosts_current(fields: dict) -> bool:
-    """Every host has reached the store's revision."""
+    """Every host has reached the store's position."""
     return all(
-        host.revision == fields["state"].revision
+        host.position == fields["state"].position
         for host in fields["state"].hosts
     )
 
@@ -379,13 +459,20 @@
 
 
 def protocol(
-    rules: Rules, changes: int = len(STORE_EVENTS)
+    rules: Rules,
+    changes: int = len(STORE_EVENTS),
+    restores: int = 0,
+    later_changes: int = len(STORE_EVENTS),
 ) -> minicheck.Protocol:
     """Return the model for a set of rules as a minicheck protocol.
 
-    :param changes: maximum number of store changes.
+    :param changes: maximum revision of the store before its first restore.
+    :param restores: maximum number of restores of the store.
+    :param later_changes: maximum revision of the restored store. If it is
+        lower than ``changes``, the liveness check shows that hosts need no
+        further changes to catch up.
     """
-    model = WatcherModel(rules, changes)
+    model = WatcherModel(rules, changes, restores, later_changes)
     return stepping.make_protocol(
         name=f"watchers-{rules.name}",
         initial=State(),
@@ -399,7 +486,7 @@
     """Accepts any listing, even that of a host at an older revision."""
 
     def _apply(self, outcome):
-        self.revision = None
+        self.position = None
         return super()._apply(outcome)
 
 
@@ -408,14 +495,14 @@
 
     def _apply(self, outcome):
         if isinstance(outcome, stores.Changes):
-            self.revision = None
+            self.position = None
         return super()._apply(outcome)
 
 
 class _AnswersAcrossGaps(mirrors.MirroredKind):
     """Answers with the changes that it has, even if some are missing."""
 
-    def has_history_since(self, revision):
+    def has_history_since(self, position):
         return True
 
 
@@ -423,7 +510,8 @@
     """Answers a host that is ahead with its own, older revision."""
 
     def changes_document(self, revision):
-        return super().changes_document(min(revision, self.revision))
+        own_revision = self.position.revision
+        return super().changes_document(min(revision, own_revision))
 
 
 class _ForgetsDeletions(mirrors.MirroredKind):
@@ -444,6 +532,24 @@
             del self.history[next(iter(self.history))]
 
 
+class _ComparesRevisionsOnly(list_watch.ListWatcher):
+    """Refuses every answer with a lower revision, whatever its era."""
+
+    def _is_older(self, outcome):
+        own_revision = self.position.revision if self.position else 0
+        return outcome.revision < own_revision
+
+
+class _AppliesChangesOfAnyEra(list_watch.ListWatcher):
+    """Applies changes after its revision, even those of a later era."""
+
+    def _apply(self, outcome):
+        if self.position and isinstance(outcome, stores.Changes):
+            own_revision = self.position.revision
+            self.position = positions.StorePosition(outcome.era, own_revision)
+        return super()._apply(outcome)
+
+
 MUTANTS: tuple[Rules, ...] = (
     Rules("takes_older_lists", "never_back", list_watcher=_TakesOlderLists),
     Rules("hears_stale_answers", "no_gap", receives_delayed=True),
@@ -458,3 +564,17 @@
     Rules("forgets_deletions", "no_gap", kind=_ForgetsDeletions),
     Rules("bounds_silently", "no_gap", kind=_BoundsSilently),
 )
+# Mutants that matter only if the store is restored.
+RESTORE_MUTANTS: tuple[Rules, ...] = (
+    Rules(
+        "compares_revisions_only",
+        "liveness",
+        list_watcher=_ComparesRevisionsOnly,
+    ),
+    Rules(
+        "applies_changes_of_any_era",
+        "no_gap",
+        list_watcher=_AppliesChangesOfAnyEra,
+    ),
+    Rules("takes_older_eras", "never_back", list_watcher=_TakesOlderLists),
+)
--- /dev/null
+++ b/tests/test_eras.py
@@ -0,0 +1,274 @@
+"""Order of what hosts read before and after restores of the store."""
+
+import pytest
+
+from tests import flow_factories
+from tests import stored_objects
+from tests import test_loop
+from tests import test_watchers
+from vanilladrum.core import address as addresses
+from vanilladrum.core import backend as backends
+from vanilladrum.core import errors
+from vanilladrum.core import position as positions
+from vanilladrum.core import routes
+from vanilladrum.daemons import json_log
+from vanilladrum.daemons import source_selector as source_selectors
+from vanilladrum.daemons import state_sync as state_syncs
+from vanilladrum.platform import connection as connections
+from vanilladrum.platform import objects
+from vanilladrum.platform import settings as node_settings
+from vanilladrum.platform import store as stores
+from vanilladrum.wire import digests
+from vanilladrum.wire import httpd
+from vanilladrum.wire import loop as loops
+
+LEAVING = {**stored_objects.SERVER_ENTRY, "state": "draining", "sequence": 9}
+
+
+def at(era, revision):
+    return positions.StorePosition(era, revision)
+
+
+class FakeSource:
+    """A source that records the calls and is never answered."""
+
+    is_mirror = False
+
+    def __init__(self, host, is_mirror):
+        self.address = host
+        self.is_mirror = is_mirror
+        self.called = []
+
+    def list(self, kind, done):
+        self.called.append(("list", kind))
+
+    list_unlimited = list
+
+    def watch(self, kind, position, wait, done):
+        self.called.append(("watch", kind, position))
+        return lambda: None
+
+    def ping(self, done):
+        pass
+
+
+@pytest.fixture
+def host():
+    """Yield a state sync of a host that calls a fake store only."""
+    text = (
+        "node-name=n\nzone=bilbao\nip=127.0.0.1\n"
+        f"internal-ports={test_loop.free_port()},1\n"
+        "listen-addrs.datagram-addr=127.0.0.1:1\n"
+        "listen-addrs.readiness-addr=127.0.0.1:1\n"
+        "platform.address=127.0.0.1:1\n"
+        "heartbeat-ms=2000\n"
+    )
+    core = flow_factories.make_host()
+    core.configuration = routes.NO_CONFIGURATION
+    core.directory = backends.ServerDirectory()
+    log = json_log.EventLog(json_log.LineWriter(1), {}, limit=0)
+    sync = state_syncs.StateSync(
+        loops.Loop(), node_settings.parse(text, "f"), core, log, print
+    )
+    sync.on_known = lambda: None
+    sync.store_monitor.store = FakeSource("store", is_mirror=False)
+    for each in sync.source_selector.list_watchers:
+        each._current_source = sync.store_monitor.store
+    yield sync
+    sync.close()
+
+
+def watcher_of(host, kind):
+    return next(
+        each
+        for each in host.source_selector.list_watchers
+        if each.kind == kind
+    )
+
+
+def receive(host, kind, revision, era, *stored, changes=False):
+    """Make the host receive an answer of the store.
+
+    :param stored: name and content of each object; None for a deletion.
+    """
+    received = tuple(
+        objects.parse_object(
+            {"meta": {"name": name, "revision": revision}, "spec": content},
+            content is None,
+            era,
+        )
+        for name, content in stored
+    )
+    outcome = stores.Changes if changes else stores.Listing
+    watcher_of(host, kind)._on_answer(outcome(received, revision, era))
+
+
+def receive_configuration(host, revision, era, version, **changed):
+    content = stored_objects.CONFIGURATION | {"version": version} | changed
+    receive(host, "config", revision, era, ("main", content))
+
+
+def relayed(host, kind):
+    """Return the objects that the host relays, as a follower reads them."""
+    sent = []
+    host.mirror.handle(httpd.Request(f"/{kind}", "whole=1", sent.append))
+    era = int(sent[0].headers[connections.ERA_HEADER])
+    answer = connections.Answer(200, sent[0].body, sent[0].compressed, era)
+    client = stores.Store(loops.Loop(), addresses.Address("h", 1), 0.3)
+    outcomes = []
+    client._call = lambda method, path, read, done: done(
+        stores._read("GET", answer, read, False)
+    )
+    client.list(kind, outcomes.append)
+    return outcomes[0]
+
+
+# A restored store counts from an earlier revision; its lists were refused.
+def test_list_of_a_later_era_is_taken_whatever_its_revision(host):
+    receive_configuration(host, 90, 1, 7)
+    receive_configuration(host, 20, 2, 8)
+    assert host.core.configuration.generation == 8
+    assert watcher_of(host, "config").position == at(2, 20)
+
+
+# A late answer from before the restore must not end the new era.
+def test_list_of_an_earlier_era_is_refused(host):
+    receive(host, "servers", 20, 2, ("i-1", LEAVING))
+    receive(host, "servers", 90, 1)
+    assert watcher_of(host, "servers").position == at(2, 20)
+    assert list(host.core.directory.servers) == ["i-1"]
+
+
+# Changes after a revision that was given out again do not include those that
+# were given out below it.
+def test_changes_of_a_later_era_are_not_applied_but_listed(host):
+    receive(host, "servers", 10, 1, ("i-1", stored_objects.SERVER_ENTRY))
+    receive(
+        host,
+        "servers",
+        15,
+        2,
+        ("i-2", stored_objects.SERVER_ENTRY),
+        changes=True,
+    )
+    watcher = watcher_of(host, "servers")
+    assert list(host.core.directory.servers) == ["i-1"]
+    assert watcher.position == at(1, 10)
+    host.loop.after(0.05, host.loop.stop)
+    host.loop.run()
+    assert host.store_monitor.store.called[-1] == ("list", "servers")
+
+
+# A watch that waits at a revision that was given out again is not answered
+# for 25 s.
+@pytest.mark.parametrize("by_ping", [False, True])
+def test_new_era_makes_all_kinds_be_listed_again(host, by_ping):
+    receive(host, "servers", 10, 1)
+    receive_configuration(host, 11, 1, 7)
+    for each in host.source_selector.list_watchers:
+        each._call_source()
+    host.store_monitor.store.called.clear()
+    if by_ping:
+        host.store_monitor._on_ping_result(stores.PingReply(2))
+    else:
+        receive(host, "servers", 12, 2)
+    assert ("list", "config") in host.store_monitor.store.called
+
+
+# A restarted watcher otherwise made two calls, one of them never cancelled.
+def test_list_watcher_makes_one_call_after_a_restore(host):
+    receive(host, "servers", 10, 1)
+    host.store_monitor.unreachable = True
+    host.store_monitor.store.called.clear()
+    receive(host, "servers", 12, 2)
+    host.loop.after(0.4, host.loop.stop)
+    host.loop.run()
+    called = host.store_monitor.store.called
+    assert called.count(("watch", "servers", at(2, 12))) == 1
+
+
+# A follower from before the restore waited at a mirror from after it.
+@pytest.mark.parametrize("era", [1, 3])
+def test_mirror_answers_a_watch_of_another_era_with_410(host, era):
+    receive(host, "servers", 10, 2)
+    sent = []
+    host.mirror.handle(
+        httpd.Request(
+            "/servers", f"watch=10&wait-ms=2000&era={era}", sent.append
+        )
+    )
+    assert [each.status for each in sent] == [410]
+
+
+def test_client_names_the_era_to_entry_hosts_only():
+    paths = []
+    for is_mirror in (False, True):
+        client = stores.Store(
+            loops.Loop(), addresses.Address("h", 1), 0.3, is_mirror
+        )
+        client._call = lambda method, path, *_, **__: paths.append(path)
+        client.watch("servers", at(3, 5), 1.0, print)
+    assert paths == [
+        "/servers?watch=5&wait-ms=1000",
+        "/servers?watch=5&wait-ms=1000&era=3",
+    ]
+
+
+# The revisions of the pages say nothing about each other then.
+def test_list_is_repeated_if_the_store_is_restored_between_two_pages():
+    client = stores.Store(loops.Loop(), addresses.Address("h", 1), 0.3)
+    eras = [1, 2]
+
+    def call(method, path, read, done):
+        plain = {"meta": {"name": path[-3:], "revision": 1}, "spec": {}}
+        document = {"items": [plain], "has-more": True, "store-revision": 9}
+        done(read(document, eras.pop(0)))
+
+    client._call = call
+    outcomes = []
+    client.list("servers", outcomes.append)
+    assert [type(each) for each in outcomes] == [errors.HistoryExpiredError]
+
+
+@pytest.mark.parametrize("value", [b"x", b"-1", b"4294967296"])
+def test_era_that_is_no_number_fails_the_call(value):
+    with pytest.raises(ValueError):
+        connections._parse_era(value)
+
+
+def test_digest_carries_the_era():
+    sent = test_watchers.make_digest(era=7)
+    assert digests.decode(digests.encode(sent)).position == at(7, 5)
+
+
+# Hosts of the release before have no era and ignore what follows the hosts.
+def test_digest_of_the_release_before_is_understood():
+    encoded = bytearray(digests.encode(test_watchers.make_digest(era=7)))
+    encoded[1] &= ~digests.ERA_FLAG
+    earlier = bytes(encoded[: -digests._ERA.size])
+    assert digests.decode(earlier).position == at(0, 5)
+
+
+def test_new_host_prefers_lists_of_the_later_era():
+    others = {2: test_watchers.make_digest(era=1, revision=90)}
+    others[3] = test_watchers.make_digest(era=2, revision=20)
+    view = test_watchers.make_view(1, others)
+    chosen = test_watchers.choose(view, has_servers=False)
+    assert chosen == test_watchers.host_at(3)
+
+
+# A followed host that sees the new era late is not ahead of this one.
+@pytest.mark.parametrize("era,is_avoided", [(1, False), (2, False), (3, True)])
+def test_source_lags_only_if_its_digest_is_at_a_later_position(
+    host, era, is_avoided
+):
+    receive(host, "servers", 20, 2)
+    selector = host.source_selector
+    source = test_watchers.host_at(2)
+    digest = test_watchers.make_digest(era=era, revision=20)
+    now = host.loop.now()
+    selector.neighbours.receive(source, digest, now)
+    selector.followed_host = source
+    selector._drop_lagging_source(now)
+    selector._drop_lagging_source(now + source_selectors.MAX_LAG_SECONDS + 0.1)
+    assert (source in selector._failed_at) is is_avoided
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -7,6 +7,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import digest as digest_types
 from vanilladrum.core import neighbours
+from vanilladrum.core import position as positions
 from vanilladrum.core import watchers
 from vanilladrum.wire import digests
 
@@ -50,7 +51,7 @@
             self.watching,
             False,
             False,
-            5,
+            positions.StorePosition(1, 5),
             {},
             receiver,
         )
--- a/tests/test_list_watch.py
+++ b/tests/test_list_watch.py
@@ -5,6 +5,7 @@
 from tests import test_watchers
 from vanilladrum.core import errors
 from vanilladrum.core import neighbours
+from vanilladrum.core import position as positions
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import list_watch
 from vanilladrum.daemons import source_selector as source_selectors
@@ -145,7 +146,7 @@
     source_selector.get_generation = lambda: 0
     assert not source_selector.has_all_lists
     for list_watcher in source_selector.list_watchers:
-        list_watcher.revision = 1
+        list_watcher.position = positions.StorePosition(0, 1)
     assert source_selector.has_all_lists
 
 
@@ -255,7 +256,7 @@
     source_selector.start()
     requested.clear()
     for list_watcher in source_selector.list_watchers:
-        list_watcher.revision = 1
+        list_watcher.position = positions.StorePosition(0, 1)
     source_selector.tick()
     assert source_selector.followed_host is None
     assert requested == ["later"]
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -96,3 +96,11 @@
         result = minicheck.check_safety(watchers.protocol(checked_rules, 1))
         checked = result["properties"][rules.breaks]
         assert checked["holds"] is (checked_rules is not rules)
+
+
+# The model had no restored store, and none of its properties failed for hosts
+# that compare the revisions of different eras.
+def test_watchers_of_a_restored_store_need_no_further_change():
+    for rules in (watchers.Rules(), watchers.RESTORE_MUTANTS[0]):
+        result = minicheck.check_liveness(watchers.protocol(rules, 1, 1, 0))
+        assert result["holds"] is (rules.name == "shipped")
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -22,6 +22,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import flow as flow_types
 from vanilladrum.core import neighbours
+from vanilladrum.core import position as positions
 from vanilladrum.core import watchers
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import list_watch
@@ -178,7 +179,7 @@
     watcher = list_watch.ListWatcher(
         selector, objects.SERVER_KIND, lambda _: None, on_change
     )
-    watcher.revision = 9
+    watcher.position = positions.StorePosition(0, 9)
     watcher._needs_listing = False
     return watcher
 
@@ -191,7 +192,7 @@
         "i-1", stored_objects.SERVER_ENTRY, revision=7
     )
     watcher._on_answer(stores.Changes((entry,), 8))
-    assert changed == [] and watcher.revision == 9
+    assert changed == [] and watcher.position.revision == 9
 
 
 def test_unexpected_error_does_not_end_the_updates():
@@ -226,7 +227,8 @@
             "items": list(range(3000)),
             "has-more": False,
             "store-revision": 1,
-        }
+        },
+        1,
     )
     assert body.compressed
     outcome = stores._read(
@@ -410,7 +412,7 @@
     client._call = lambda method, path, read, done, **_: outcomes.append(
         stores._read("GET", _make_ok(document), read, False)
     )
-    client.watch("servers", 1, 0.1, outcomes.append)
+    client.watch("servers", positions.START, 0.1, outcomes.append)
     assert len(outcomes) == 2
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,6 +11,7 @@
 from tests import test_loop
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
+from vanilladrum.core import position as positions
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import store as stores
 from vanilladrum.wire import httpd
@@ -64,6 +65,10 @@
     return httpd.Response(status, json.dumps(document or {}).encode())
 
 
+def at(revision, era=0):
+    return positions.StorePosition(era, revision)
+
+
 def make_page(names, has_more, revision):
     """Return the answer that holds one page of a list of servers."""
     items = [
@@ -104,7 +109,7 @@
 def test_refusals_are_distinguished_by_status(fake_store, status, error_class):
     fake_store.answers = [make_answer(status)]
     outcome = fake_store.wait_for_outcome(
-        fake_store.client.watch, "servers", 5, 0.1
+        fake_store.client.watch, "servers", at(5), 0.1
     )
     assert type(outcome) is error_class
 
@@ -125,7 +130,7 @@
     fake_store.answers = [None]
     before = fake_store.loop.now()
     outcome = fake_store.wait_for_outcome(
-        fake_store.client.watch, "servers", 5, 0.4
+        fake_store.client.watch, "servers", at(5), 0.4
     )
     assert type(outcome) is errors.StoreTimeoutError
     assert 0.5 < fake_store.loop.now() - before < 1.0
@@ -157,7 +162,7 @@
 def test_cancelled_watch_does_not_call_back(fake_store):
     fake_store.answers = [None]
     outcomes = []
-    cancel = fake_store.client.watch("servers", 5, 1.0, outcomes.append)
+    cancel = fake_store.client.watch("servers", at(5), 1.0, outcomes.append)
     fake_store.loop.after(0.05, cancel)
     fake_store.loop.after(0.1, fake_store.loop.stop)
     fake_store.loop.run()
@@ -202,7 +207,7 @@
         11,
     )
     client.loop.after(0.05, lambda: mirror.apply_changes("servers", change))
-    changes = wait_for_outcome(client, client.watch, "servers", 10, 1.0)
+    changes = wait_for_outcome(client, client.watch, "servers", at(10), 1.0)
     assert [each.name for each in changes.objects] == ["i-2"]
     assert changes.revision == 11
     deletion = stores.Changes(
@@ -214,7 +219,7 @@
         12,
     )
     mirror.apply_changes("servers", deletion)
-    changes = wait_for_outcome(client, client.watch, "servers", 11, 1.0)
+    changes = wait_for_outcome(client, client.watch, "servers", at(11), 1.0)
     assert changes.objects[0].deleted
     listing = wait_for_outcome(client, client.list, "servers")
     assert [each.name for each in listing.objects] == ["i-1"]
@@ -223,7 +228,7 @@
 def test_mirror_rejects_a_revision_before_its_history(mirror_and_client):
     mirror, client = mirror_and_client
     mirror.replace_all("servers", stores.Listing((), 10))
-    outcome = wait_for_outcome(client, client.watch, "servers", 9, 0.1)
+    outcome = wait_for_outcome(client, client.watch, "servers", at(9), 0.1)
     assert type(outcome) is errors.HistoryExpiredError
 
 
@@ -236,9 +241,9 @@
             f"i-{revision}", stored_objects.SERVER_ENTRY, revision
         )
         mirror.apply_changes("servers", stores.Changes((change,), revision))
-    outcome = wait_for_outcome(client, client.watch, "servers", 11, 0.1)
+    outcome = wait_for_outcome(client, client.watch, "servers", at(11), 0.1)
     assert type(outcome) is errors.HistoryExpiredError
-    changes = wait_for_outcome(client, client.watch, "servers", 12, 0.1)
+    changes = wait_for_outcome(client, client.watch, "servers", at(12), 0.1)
     assert len(changes.objects) == 2
 
 
@@ -250,7 +255,7 @@
             "i-1", stored_objects.SERVER_ENTRY, revision
         )
         mirror.apply_changes("servers", stores.Changes((change,), revision))
-    changes = wait_for_outcome(client, client.watch, "servers", 10, 0.1)
+    changes = wait_for_outcome(client, client.watch, "servers", at(10), 0.1)
     assert [each.revision for each in changes.objects] == [59]
     assert changes.revision == 59
 
@@ -284,7 +289,7 @@
     )
     mirror.replace_all("config", stores.Listing((), 10))
     mirror.apply_changes("config", stores.Changes((large,), 11))
-    outcome = wait_for_outcome(client, client.watch, "config", 10, 0.1)
+    outcome = wait_for_outcome(client, client.watch, "config", at(10), 0.1)
     assert type(outcome) is errors.AnswerTooLargeError
     outcome = wait_for_outcome(client, client.list, "config")
     assert type(outcome) is errors.AnswerTooLargeError
@@ -304,7 +309,7 @@
     mirror, client = mirror_and_client
     mirror.replace_all("servers", stores.Listing((), 10))
     client.loop.after(0.15, mirror.tick)
-    changes = wait_for_outcome(client, client.watch, "servers", 10, 0.1)
+    changes = wait_for_outcome(client, client.watch, "servers", at(10), 0.1)
     assert changes.objects == () and changes.revision == 10
 
 
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -10,9 +10,12 @@
 from vanilladrum.core import digest as digest_types
 from vanilladrum.core import errors
 from vanilladrum.core import neighbours
+from vanilladrum.core import position as positions
 from vanilladrum.core import watchers
 from vanilladrum.wire import digests
 
+POSITION = positions.StorePosition(1, 5)
+
 
 def host_at(number):
     return addresses.Address(f"10.1.0.{number}", 7720)
@@ -191,7 +194,9 @@
     others = {n: make_digest(data_centre=1 + n % 3) for n in range(2, 40)}
     view = make_view(1, others)
     newcomer = make_digest(data_centre=2)
-    made = view.make_digest(1, False, False, False, False, 5, {}, newcomer)
+    made = view.make_digest(
+        1, False, False, False, False, POSITION, {}, newcomer
+    )
     centres = {view.digest(host).data_centre for host in made.hosts}
     assert centres == {2} and len(made.hosts) == 4
 
--- a/vanilladrum/core/digest.py
+++ b/vanilladrum/core/digest.py
@@ -1,6 +1,7 @@
 """State that entry hosts tell each other, and how often they do."""
 
 from vanilladrum.core import address as addresses
+from vanilladrum.core import position as positions
 
 # Number of other hosts up to which a fleet is small. In a small fleet every
 # host sends its digests to all others.
@@ -67,6 +68,8 @@
     :param busy_flows: number of flows that wait for an answer, by tag of the
         server; servers without such flows are left out.
     :param hosts: addresses of some other entry hosts.
+    :param era: number of restores of the store when the sender read its
+        server list, 0 if the sender does not report it.
     """
 
     __slots__ = (
@@ -81,6 +84,7 @@
         "revision",
         "busy_flows",
         "hosts",
+        "era",
     )
 
     def __init__(
@@ -96,6 +100,7 @@
         revision: int,
         busy_flows: dict[int, int],
         hosts: tuple[addresses.Address, ...],
+        era: int = 0,
     ) -> None:
         self.start = start
         self.sequence = sequence
@@ -108,6 +113,12 @@
         self.revision = revision
         self.busy_flows = busy_flows
         self.hosts = hosts
+        self.era = era
+
+    @property
+    def position(self) -> positions.StorePosition:
+        """Return the position of the sender's server list."""
+        return positions.StorePosition(self.era, self.revision)
 
     def is_first_of_start(self, known: "Digest | None") -> bool:
         """Return whether this is the first digest of a start of its sender.
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -17,6 +17,7 @@
 from vanilladrum.core import flow_observer
 from vanilladrum.core import flowtable
 from vanilladrum.core import neighbours as neighbour_tables
+from vanilladrum.core import position as positions
 from vanilladrum.core import routes
 from vanilladrum.core import serverstate
 from vanilladrum.core import speed_estimator
@@ -243,7 +244,7 @@
         leaving: bool,
         watching: bool,
         store_unreachable: bool,
-        revision: int,
+        position: positions.StorePosition,
         receiver: digests.Digest | None = None,
     ) -> digests.Digest:
         """Return the digest of this host's state for other entry hosts.
@@ -254,7 +255,7 @@
         :param leaving: whether this host is about to stop as planned.
         :param watching: whether this host watches the store itself.
         :param store_unreachable: whether the store does not answer this host.
-        :param revision: store revision of this host's server list.
+        :param position: position of this host's server list.
         :param receiver: digest of the host that receives this one, None for
             several receivers.
         """
@@ -265,7 +266,7 @@
             watching,
             store_unreachable,
             self.entries_may_return,
-            revision,
+            position,
             {} if is_large else dict(self.table.busy_counts),
             receiver,
         )
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -10,6 +10,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import digest as digests
 from vanilladrum.core import indexed_set
+from vanilladrum.core import position as positions
 
 # Interval between digests to a host without a valid digest.
 RETRY_SECONDS = 1.0
@@ -211,12 +212,13 @@
         watching: bool,
         store_unreachable: bool,
         entries_may_return: bool,
-        revision: int,
+        position: positions.StorePosition,
         busy_flows: dict[int, int],
         receiver: digests.Digest | None = None,
     ) -> digests.Digest:
         """Return the next digest of this host, with a new sequence number.
 
+        :param position: position of this host's server list.
         :param receiver: digest of the host that receives this one, None for
             several receivers. Hosts of its data centre are listed for it.
         """
@@ -230,9 +232,10 @@
             watching,
             store_unreachable,
             entries_may_return,
-            revision,
+            position.revision,
             busy_flows,
             tuple(self._hosts_to_list(receiver)),
+            position.era,
         )
 
     def valid_hosts(self, now: float) -> list[addresses.Address]:
--- a/vanilladrum/core/watchers.py
+++ b/vanilladrum/core/watchers.py
@@ -71,14 +71,15 @@
     These are the half whose lists are the most recent: a host that is cut off
     may still list servers that have left.
     """
-    revisions = sorted(
-        (neighbours.digest(host).revision for host in hosts), reverse=True
+    listed = [host for host in hosts if neighbours.digest(host).revision]
+    positions = sorted(
+        (neighbours.digest(host).position for host in hosts), reverse=True
     )
-    if not revisions:
+    if not positions:
         return []
-    oldest = max(1, revisions[(len(revisions) - 1) // 2])
+    oldest = positions[(len(positions) - 1) // 2]
     return [
-        host for host in hosts if neighbours.digest(host).revision >= oldest
+        host for host in listed if neighbours.digest(host).position >= oldest
     ]
 
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -159,7 +159,9 @@
             "watching": float(
                 self.state_sync.source_selector.receives_from_store
             ),
-            "servers_revision": float(self.state_sync.servers_revision),
+            "servers_revision": float(
+                self.state_sync.servers_position.revision
+            ),
             "datagrams_unsent": float(send_failures),
             "lines_dropped": float(self.log.writer.dropped),
         }
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from vanilladrum.core import errors
+from vanilladrum.core import position as positions
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import store_monitor as store_monitors
 from vanilladrum.platform import objects
@@ -33,8 +34,8 @@
     :param batches_changes: whether to wait between a change and the next
         watch at the store, so that a kind that changes constantly does not
         cost one call per change.
-    :param revision: store revision up to which changes were received, None
-        before the first list.
+    :param position: position of the store up to which changes were received,
+        None before the first list.
     """
 
     def __init__(
@@ -51,7 +52,7 @@
         self.on_listing = on_listing
         self.on_change = on_change
         self.batches_changes = batches_changes
-        self.revision: int | None = None
+        self.position: positions.StorePosition | None = None
         self._needs_listing = True
         self._current_source = source_selector.store_monitor.store
         self._call_number = 0
@@ -84,6 +85,19 @@
         self._needs_listing = True
         self._call_source(self.source_selector.store_monitor.store)
 
+    def list_again(self) -> None:
+        """List at the current source if the known list is of another era.
+
+        A watch from a revision of an earlier era may wait, or succeed, though
+        the store has lost that revision and given it out again.
+        """
+        if self.position is None:
+            return
+        if self.position.era == self.source_selector.store_monitor.era:
+            return
+        self._needs_listing = True
+        self.restart()
+
     def _call_source(
         self, store: stores.Store | None = None, whole: bool = False
     ) -> None:
@@ -101,16 +115,17 @@
 
         source = store or self.source_selector.current_client()
         self._current_source = source
-        if self._needs_listing or self.revision is None:
+        if self._needs_listing or self.position is None:
             self._cancel = _no_cancel
             call = source.list_unlimited if whole else source.list
             call(self.kind, on_answer)
             return
         from_store = source is self.source_selector.store_monitor.store
         wait = WATCH_SECONDS if from_store else PEER_WATCH_SECONDS
-        self._cancel = source.watch(self.kind, self.revision, wait, on_answer)
+        self._cancel = source.watch(self.kind, self.position, wait, on_answer)
 
     def _on_answer(self, outcome: Any) -> None:
+        call_number = self._call_number
         delay = 0.0
         if isinstance(outcome, errors.HistoryExpiredError):
             self.source_selector.store_monitor.log.event(
@@ -127,7 +142,9 @@
             delay = store_monitors.RETRY_DELAYS[-1]
         else:
             delay = self._apply_or_list_again(outcome)
-        self._schedule_call(delay)
+        if call_number == self._call_number:
+            # Otherwise this list watcher was restarted in the meantime.
+            self._schedule_call(delay)
 
     def _handle_too_large(self) -> None:
         """List again after the answer exceeded the size limit of a host.
@@ -171,37 +188,64 @@
 
         :returns: the delay before the next call, in seconds.
         """
-        delay = 0.0
-        if self._current_source is self.source_selector.store_monitor.store:
-            self.source_selector.store_monitor.record_era(outcome.era)
-        if outcome.revision < (self.revision or 0):
-            self._log_refused(outcome)
-            # The source is another host that is behind this one, or sent a
-            # second copy of an earlier answer.
-            self.source_selector.record_failure(
-                self._current_source,
-                errors.PlatformError(
-                    "its answer is older than the one received before"
-                ),
-            )
-            return store_monitors.RETRY_DELAYS[0]
+        if self._is_older(outcome):
+            return self._refuse(outcome)
         if isinstance(outcome, stores.Listing):
-            self._needs_listing = False
-            self.source_selector.mirror.replace_all(self.kind, outcome)
-            self.on_listing(outcome.objects)
-            if self.source_selector.followed_host is None:
-                delay = SETTLE_SECONDS
+            delay = self._apply_listing(outcome)
+        elif self.position and outcome.era != self.position.era:
+            self._needs_listing = True
+            delay = 0.0
         else:
-            self.source_selector.mirror.apply_changes(self.kind, outcome)
-            for each in outcome.objects:
-                self.on_change(each)
-            if self.batches_changes:
-                delay = self.source_selector.batch_delay()
-        self.revision = outcome.revision
-        # Called last, as it may restart this and other list watchers.
+            delay = self._apply_changes(outcome)
+        # Called last, as they may restart this and other list watchers.
+        self.source_selector.store_monitor.record_era(outcome.era)
         self.source_selector.record_success(self._current_source)
         return delay
 
+    def _is_older(self, outcome: stores.Listing | stores.Changes) -> bool:
+        """Return whether an answer is older than what was received before.
+
+        The source is another host that is behind this one, or sent a second
+        copy of an earlier answer, or an answer from before a restore.
+        """
+        store_monitor = self.source_selector.store_monitor
+        is_from_store = self._current_source is store_monitor.store
+        if is_from_store and outcome.era < store_monitor.era:
+            return True
+        return outcome.position < (self.position or positions.START)
+
+    def _refuse(self, outcome: stores.Listing | stores.Changes) -> float:
+        """Take nothing from an older answer and avoid its source.
+
+        :returns: the delay before the next call, in seconds.
+        """
+        self._log_refused(outcome)
+        self.source_selector.record_failure(
+            self._current_source,
+            errors.PlatformError(
+                "its answer is older than the one received before"
+            ),
+        )
+        return store_monitors.RETRY_DELAYS[0]
+
+    def _apply_listing(self, listing: stores.Listing) -> float:
+        self._needs_listing = False
+        self.source_selector.mirror.replace_all(self.kind, listing)
+        self.on_listing(listing.objects)
+        self.position = listing.position
+        if self.source_selector.followed_host is None:
+            return SETTLE_SECONDS
+        return 0.0
+
+    def _apply_changes(self, changes: stores.Changes) -> float:
+        self.source_selector.mirror.apply_changes(self.kind, changes)
+        for each in changes.objects:
+            self.on_change(each)
+        self.position = changes.position
+        if self.batches_changes:
+            return self.source_selector.batch_delay()
+        return 0.0
+
     def _log_refused(self, outcome: stores.Listing | stores.Changes) -> None:
         log = self.source_selector.store_monitor.log
         if not log.is_allowed("answer refused"):
@@ -212,7 +256,7 @@
             source=self._current_source.address,
             era=outcome.era,
             revision=outcome.revision,
-            own_revision=self.revision,
+            own_position=self.position,
         )
 
 
--- a/vanilladrum/daemons/packet_forwarder.py
+++ b/vanilladrum/daemons/packet_forwarder.py
@@ -114,7 +114,7 @@
             reason=decision.reason,
             tag=packet.tag,
             generation=self.core.configuration.generation,
-            revision=self.state_sync.servers_revision,
+            revision=self.state_sync.servers_position.revision,
         )
 
     def _log_flow(
@@ -135,7 +135,7 @@
                 self.core.speed_estimator.relative_speed(server, now), 2
             ),
             generation=self.core.configuration.generation,
-            revision=self.state_sync.servers_revision,
+            revision=self.state_sync.servers_position.revision,
         )
 
     def _log_request(
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -6,6 +6,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import neighbours as neighbour_tables
+from vanilladrum.core import position as positions
 from vanilladrum.core import watchers
 from vanilladrum.daemons import store_monitor as store_monitors
 from vanilladrum.platform import mirror as mirrors
@@ -46,12 +47,12 @@
     """Reads the objects of one kind from the current source.
 
     :param kind: the kind.
-    :param revision: store revision up to which changes were received, None
-        before the first list.
+    :param position: position of the store up to which changes were received,
+        None before the first list.
     """
 
     kind: str
-    revision: int | None
+    position: positions.StorePosition | None
 
     def restart(self, delay: float = 0.0) -> None:
         """Cancel the current call and make a new one after a delay."""
@@ -62,6 +63,9 @@
     def list_from_store(self) -> None:
         """List at the store itself, even while a host is followed."""
 
+    def list_again(self) -> None:
+        """List at the current source if the known list is of another era."""
+
 
 class SourceSelector:
     """Chooses the source of updates: the store or another entry host.
@@ -99,6 +103,7 @@
         self._configuration_lag_start = loop.now()
         self._started = False
         store_monitor.on_recovered = self._restart_list_watchers
+        store_monitor.on_restored = self._list_again
         store_monitor.watches_store = True
 
     def current_client(self) -> stores.Store:
@@ -107,7 +112,7 @@
             return self.store_monitor.store
         if self.followed_host not in self._peer_clients:
             self._peer_clients[self.followed_host] = stores.Store(
-                self.loop, self.followed_host, PEER_TIMEOUT
+                self.loop, self.followed_host, PEER_TIMEOUT, is_mirror=True
             )
         return self._peer_clients[self.followed_host]
 
@@ -127,7 +132,7 @@
         The lists may be empty: before the first configuration is written no
         host has one, and some host has to watch for it.
         """
-        return all(each.revision is not None for each in self.list_watchers)
+        return all(each.position is not None for each in self.list_watchers)
 
     @property
     def entries_may_return(self) -> bool:
@@ -255,13 +260,13 @@
         """Avoid a followed host whose digest is ahead of its answers.
 
         This is so when, for longer than ``MAX_LAG_SECONDS``, the digest
-        reports a newer revision than this host has received.
+        reports a later position than this host has received.
         """
-        received = self.mirror.revision(objects.SERVER_KIND)
+        received = self.mirror.position(objects.SERVER_KIND)
         neighbour = self._followed_neighbour()
         if neighbour is None or neighbour.digest is None:
             self._source_lag_start = now
-        elif neighbour.digest.revision <= received:
+        elif neighbour.digest.position <= received:
             self._source_lag_start = now
         elif (
             self.followed_host
@@ -296,6 +301,10 @@
                 else:
                     list_watcher.list_from_store()
 
+    def _list_again(self) -> None:
+        for list_watcher in self.list_watchers:
+            list_watcher.list_again()
+
     def _restart_list_watchers(self) -> None:
         for list_watcher in self.list_watchers:
             list_watcher.restart()
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -4,6 +4,7 @@
 
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
+from vanilladrum.core import position as positions
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import list_watch
 from vanilladrum.daemons import source_selector as source_selectors
@@ -85,9 +86,9 @@
         return bool(self.core.configuration.generation) and self.has_servers
 
     @property
-    def servers_revision(self) -> int:
-        """Return the store revision up to which servers are known."""
-        return self.mirror.revision(objects.SERVER_KIND)
+    def servers_position(self) -> positions.StorePosition:
+        """Return the position of the store up to which servers are known."""
+        return self.mirror.position(objects.SERVER_KIND)
 
     def start(self) -> None:
         """Schedule the choice of a source after ``DISCOVERY_SECONDS``."""
@@ -145,6 +146,7 @@
             offered=offered.generation,
             before=before,
             routes=len(offered.routes),
+            era=changed.era,
             revision=changed.revision,
         )
         self._notify_if_known()
@@ -162,7 +164,8 @@
         self.log.event(
             "servers listed",
             servers=len(self.core.directory.servers),
-            revision=self.servers_revision,
+            era=self.servers_position.era,
+            revision=self.servers_position.revision,
         )
         self._notify_if_known()
 
--- a/vanilladrum/daemons/store_monitor.py
+++ b/vanilladrum/daemons/store_monitor.py
@@ -24,11 +24,14 @@
     :param last_answer_at: when the store last answered, or when this host last
         started or changed its source of updates, in monotonic seconds.
     :param recovered_at: when the last outage ended, in monotonic seconds.
-    :param era: number of restores of the store, 0 before its first answer.
+    :param era: number of restores of the store as far as known, 0 before the
+        first answer.
     :param unreachable: whether the last call to the store failed.
     :param watches_store: whether this host watches the store at present; only
         then is an idle store pinged.
     :param on_recovered: called when the store answers after an outage.
+    :param on_restored: called when an answer shows that the store was
+        restored from a copy.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         self.unreachable = False
         self.watches_store = False
         self.on_recovered: Callable[[], None] = lambda: None
+        self.on_restored: Callable[[], None] = lambda: None
         self._failures = 0
         self._next_ping = float("-inf")
         self._ping_pending = False
@@ -63,11 +67,16 @@
         self.on_recovered()
 
     def record_era(self, era: int) -> None:
-        """Record the number of restores that an answer of the store has."""
-        if era == self.era:
+        """Record the number of restores that an answer shows.
+
+        Answers of earlier eras are late; answers of entry hosts count too.
+        """
+        if era <= self.era:
             return
-        self.log.event("store era", era=era, before=self.era)
-        self.era = era
+        before, self.era = self.era, era
+        self.log.event("store era", era=era, before=before)
+        if before:
+            self.on_restored()
 
     def record_failure(self, error: errors.PlatformError) -> None:
         """Record a failed call to the store and schedule the next ping.
--- a/vanilladrum/platform/connection.py
+++ b/vanilladrum/platform/connection.py
@@ -13,6 +13,7 @@
 Done = Callable[[Any], None]
 # The store's header with the number of its restores.
 ERA_HEADER = "Store-Era"
+MAX_ERA = 2**32 - 1
 _ERA_HEADER_LOWER = ERA_HEADER.lower().encode()
 
 
@@ -90,7 +91,7 @@
         if lower == b"content-encoding":
             self.compressed = value == b"deflate"
         elif lower == _ERA_HEADER_LOWER:
-            self.era = int(value)
+            self.era = _parse_era(value)
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -115,3 +116,14 @@
         call, self.call = self.call, None
         if call is not None:
             call.finish(reason)
+
+
+def _parse_era(value: bytes) -> int:
+    """Return the value of the header.
+
+    :raises ValueError: when it is no integer from 0 to ``MAX_ERA``.
+    """
+    era = int(value)
+    if not 0 <= era <= MAX_ERA:
+        raise ValueError(f"{ERA_HEADER} is {era}, not 0 to {MAX_ERA}")
+    return era
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -11,6 +11,8 @@
 from urllib import parse
 import zlib
 
+from vanilladrum.core import position as positions
+from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
 from vanilladrum.wire import httpd
@@ -41,9 +43,9 @@
     """Objects of one kind and their most recent changes.
 
     :param raw_objects: objects as decoded from JSON, by name.
-    :param revision: store revision of the objects, None before the first
-        list.
-    :param history_start: revision since which the history is complete.
+    :param position: position of the objects, None before the first list.
+    :param history_start: revision of the same era since which the history is
+        complete.
     :param history: the last change of each object, oldest first: revision,
         object as decoded from JSON, and whether it was deleted.
     :param pending_watches: watches that wait for a change.
@@ -51,7 +53,7 @@
 
     def __init__(self) -> None:
         self.raw_objects: dict[str, dict] = {}
-        self.revision: int | None = None
+        self.position: positions.StorePosition | None = None
         self.history_start = 0
         self.history: dict[str, tuple[int, dict, bool]] = {}
         self.pending_watches: list[_PendingWatch] = []
@@ -76,9 +78,20 @@
         """Remove the cached answers, because the objects have changed."""
         self._cached_answers.clear()
 
-    def has_history_since(self, revision: int) -> bool:
-        """Return whether the history after a revision is complete."""
-        return revision >= self.history_start
+    @property
+    def era(self) -> int:
+        """Return the era of the objects, 0 before the first list."""
+        return self.position.era if self.position else 0
+
+    def has_history_since(self, position: positions.StorePosition) -> bool:
+        """Return whether the history after a position is complete.
+
+        Revisions of another era say nothing about this history.
+        """
+        return (
+            position.era == self.era
+            and position.revision >= self.history_start
+        )
 
     def has_changes_after(self, revision: int) -> bool:
         """Return whether any change is newer than a revision."""
@@ -110,7 +123,7 @@
         if cache_key not in self._cached_answers:
             while len(self._cached_answers) >= MAX_CACHED_ANSWERS:
                 del self._cached_answers[next(iter(self._cached_answers))]
-            self._cached_answers[cache_key] = _encode(make())
+            self._cached_answers[cache_key] = _encode(make(), self.era)
         return self._cached_answers[cache_key]
 
     def list_document(self) -> dict:
@@ -118,7 +131,7 @@
         return {
             "items": list(self.raw_objects.values()),
             "has-more": False,
-            "store-revision": self.revision,
+            "store-revision": self.position.revision if self.position else 0,
         }
 
     def changes_document(self, revision: int) -> dict:
@@ -128,9 +141,10 @@
             for changed_at, plain, deleted in self.history.values()
             if changed_at > revision
         ]
+        own_revision = self.position.revision if self.position else 0
         return {
             "events": events,
-            "store-revision": max(self.revision or 0, revision),
+            "store-revision": max(own_revision, revision),
         }
 
 
@@ -164,9 +178,9 @@
             MirroredKind
         )
 
-    def revision(self, kind: str) -> int:
-        """Return the store revision of a kind, 0 before the first list."""
-        return self.kinds[kind].revision or 0
+    def position(self, kind: str) -> positions.StorePosition:
+        """Return the position of a kind, ``START`` before the first list."""
+        return self.kinds[kind].position or positions.START
 
     @property
     def has_pending_watches(self) -> bool:
@@ -183,7 +197,7 @@
         mirrored.raw_objects = {
             each.name: each.plain for each in listing.objects
         }
-        mirrored.revision = listing.revision
+        mirrored.position = listing.position
         mirrored.history_start = listing.revision
         mirrored.history.clear()
         mirrored.clear_cached_answers()
@@ -196,7 +210,7 @@
         mirrored = self.kinds[kind]
         for each in changes.objects:
             mirrored.apply_change(changes.revision, each)
-        mirrored.revision = changes.revision
+        mirrored.position = changes.position
         mirrored.clear_cached_answers()
         if changes.objects:
             self._answer_pending(mirrored)
@@ -205,13 +219,13 @@
         """Handle the HTTP request of a list or a watch.
 
         The status is 404 before the first list, 410 if the history after the
-        revision of the watch is incomplete, and 413 if the answer is too
+        position of the watch is incomplete, and 413 if the answer is too
         large to relay. A list of any size is sent if the query has
         WHOLE_PARAMETER. A watch without changes is answered later.
         """
         kind = request.path.rpartition("/")[2]
         mirrored = self.kinds[kind]
-        if mirrored.revision is None:
+        if mirrored.position is None:
             request.respond(_NOT_FOUND)
             return
         query = parse.parse_qs(request.query, keep_blank_values=True)
@@ -226,11 +240,13 @@
         try:
             revision = int(query["watch"][0])
             wait = int(query.get("wait-ms", ["0"])[0]) * _SECONDS_PER_MS
+            era = int(query.get(stores.ERA_PARAMETER, [mirrored.era])[0])
         except ValueError:
             request.respond(httpd.Response(400))
             return
         self.last_watch_at = self.loop.now()
-        if not mirrored.has_history_since(revision):
+        position = positions.StorePosition(era, revision)
+        if not mirrored.has_history_since(position):
             request.respond(_GONE)
             return
         if mirrored.has_changes_after(revision):
@@ -277,11 +293,11 @@
     return response
 
 
-def _encode(document: dict) -> httpd.Response:
+def _encode(document: dict, era: int) -> httpd.Response:
     """Return a response with a JSON document, compressed if it is large."""
     body = json.dumps(document).encode()
+    headers = {connections.ERA_HEADER: str(era)}
     if len(body) <= MAX_UNCOMPRESSED_BYTES:
-        return httpd.Response(200, body)
-    return httpd.Response(
-        200, zlib.compress(body, COMPRESSION_LEVEL), compressed=True
-    )
+        return httpd.Response(200, body, headers=headers)
+    compressed = zlib.compress(body, COMPRESSION_LEVEL)
+    return httpd.Response(200, compressed, compressed=True, headers=headers)
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -41,6 +41,7 @@
     :param content: data that its writer stored, not validated yet.
     :param deleted: whether the object was deleted.
     :param plain: the complete object as decoded from JSON.
+    :param era: number of restores of the store when the object was read.
     """
 
     def __init__(
@@ -50,19 +51,24 @@
         content: Any,
         deleted: bool = False,
         plain: dict | None = None,
+        era: int = 0,
     ) -> None:
         self.name = name
         self.revision = revision
         self.content = content
         self.deleted = deleted
         self.plain = plain or {}
+        self.era = era
 
 
-def parse_object(plain: dict, deleted: bool = False) -> StoredObject:
+def parse_object(
+    plain: dict, deleted: bool = False, era: int = 0
+) -> StoredObject:
     """Read an object as it appears in lists and in events of a watch.
 
     :param plain: the object as decoded from JSON.
     :param deleted: whether the event reports its deletion.
+    :param era: number of restores of the store that sent it.
     :raises PlatformError: when the name or the revision is missing.
     """
     try:
@@ -73,6 +79,7 @@
             plain.get("spec"),
             deleted,
             plain,
+            era,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise errors.PlatformError(
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -13,6 +13,7 @@
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
+from vanilladrum.core import position as positions
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
 from vanilladrum.wire import loop as loops
@@ -29,6 +30,8 @@
 _TOO_LARGE = 413
 # Query parameter that asks an entry host for a list of any size.
 WHOLE_PARAMETER = "whole"
+# Query parameter of a watch at an entry host: the era of its revision.
+ERA_PARAMETER = "era"
 # Statuses of a call that the store did not process.
 _UNAVAILABLE = (429, 503)
 
@@ -38,7 +41,7 @@
 
     :param listed: the objects, as attribute ``objects``.
     :param revision: store revision at the first page of the list.
-    :param era: number of restores of the store at the first page.
+    :param era: number of restores of the store at all pages.
     """
 
     def __init__(
@@ -51,6 +54,11 @@
         self.revision = revision
         self.era = era
 
+    @property
+    def position(self) -> positions.StorePosition:
+        """Return the position that a host has reached with this listing."""
+        return positions.StorePosition(self.era, self.revision)
+
 
 class Changes:
     """Objects that have changed since a revision.
@@ -70,6 +78,11 @@
         self.revision = revision
         self.era = era
 
+    @property
+    def position(self) -> positions.StorePosition:
+        """Return the position that a host has reached with these changes."""
+        return positions.StorePosition(self.era, self.revision)
+
 
 class PingReply:
     """Result of a ping that the store has answered.
@@ -104,15 +117,22 @@
     :param timeout: seconds within which a connection has to be established,
         and longest time without data of an answer, in seconds; before the
         first data of a watch, its wait is added to the latter.
+    :param is_mirror: whether the address is that of an entry host, which is
+        told the era of each watch. The store does not know that parameter.
     :param calls: number of calls made; the platform charges for each call.
     """
 
     def __init__(
-        self, loop: loops.Loop, address: addresses.Address, timeout: float
+        self,
+        loop: loops.Loop,
+        address: addresses.Address,
+        timeout: float,
+        is_mirror: bool = False,
     ) -> None:
         self.loop = loop
         self.address = address
         self.timeout = timeout
+        self.is_mirror = is_mirror
         self.calls = 0
         # By kind: a late second copy of an answer then reaches a call of the
         # same kind at worst, which sees from the revision that it is old.
@@ -142,9 +162,16 @@
         self._list_page(f"{kind}?{WHOLE_PARAMETER}=1", "", None, done)
 
     def watch(
-        self, kind: str, revision: int, wait: float, done: connections.Done
+        self,
+        kind: str,
+        position: positions.StorePosition,
+        wait: float,
+        done: connections.Done,
     ) -> Callable[[], None]:
-        """Wait for changes after a revision.
+        """Wait for changes after a position.
+
+        The store answers in its present era, which may be a later one. The
+        changes then have gaps, and the kind has to be listed again.
 
         :param wait: seconds after which the store sends an answer without
             changes.
@@ -156,12 +183,14 @@
 
         def read(document: dict, era: int) -> Changes:
             events = tuple(
-                objects.parse_object(each["object"], each["deleted"])
+                objects.parse_object(each["object"], each["deleted"], era)
                 for each in document["events"]
             )
             return Changes(events, _revision(document), era)
 
-        path = f"/{kind}?watch={revision}&wait-ms={int(wait * 1000)}"
+        path = f"/{kind}?watch={position.revision}&wait-ms={int(wait * 1000)}"
+        if self.is_mirror:
+            path += f"&{ERA_PARAMETER}={position.era}"
         return self._call("GET", path, read, done, wait=wait)
 
     def ping(self, done: connections.Done) -> None:
@@ -206,7 +235,8 @@
     ) -> None:
         def read(document: dict, era: int) -> tuple[Listing, bool]:
             page = tuple(
-                objects.parse_object(each) for each in document["items"]
+                objects.parse_object(each, era=era)
+                for each in document["items"]
             )
             listing = Listing(page, _revision(document), era)
             return listing, document["has-more"]
@@ -216,6 +246,9 @@
                 done(outcome)
                 return
             page, more = outcome
+            if previous is not None and page.era != previous.era:
+                done(_restored_error(kind))
+                return
             collected = _append_page(previous, page)
             if more and page.objects:
                 last_name = page.objects[-1].name
@@ -315,6 +348,13 @@
         connection.stream.close()
 
 
+def _restored_error(kind: str) -> errors.HistoryExpiredError:
+    return errors.HistoryExpiredError(
+        f"the store was restored between two pages of {kind}; list the "
+        "objects again"
+    )
+
+
 def _append_page(previous: Listing | None, page: Listing) -> Listing:
     """Return a listing with one more page.
 
--- a/vanilladrum/wire/digests.py
+++ b/vanilladrum/wire/digests.py
@@ -19,6 +19,9 @@
 WATCHING_FLAG = 2
 STORE_UNREACHABLE_FLAG = 4
 ENTRIES_MAY_RETURN_FLAG = 8
+# The digest ends with the era of the server list. Hosts of earlier releases
+# set no such flag, ignore it and what follows the addresses.
+ERA_FLAG = 16
 # Greater numbers of open flows are encoded as this, the largest 16-bit value.
 MAX_BUSY_FLOWS = 65535
 # Keeps a digest below 1,000 bytes with all headers, so that 25 digests a
@@ -31,6 +34,8 @@
 _BUSY_FLOWS = struct.Struct("!IH")
 # IPv4 address and port.
 _HOST_ADDRESS = struct.Struct("!4sH")
+# Era of the server list.
+_ERA = struct.Struct("!I")
 
 
 def encode(digest: digest_types.Digest) -> bytes:
@@ -62,6 +67,7 @@
         _HOST_ADDRESS.pack(socket.inet_aton(host.host), host.port)
         for host in digest.hosts
     )
+    parts.append(_ERA.pack(digest.era))
     return b"".join(parts)
 
 
@@ -71,6 +77,7 @@
         | WATCHING_FLAG * digest.watching
         | STORE_UNREACHABLE_FLAG * digest.store_unreachable
         | ENTRIES_MAY_RETURN_FLAG * digest.entries_may_return
+        | ERA_FLAG
     )
 
 
@@ -116,6 +123,9 @@
         packed_ip, port = _HOST_ADDRESS.unpack_from(datagram, offset)
         hosts.append(addresses.Address(socket.inet_ntoa(packed_ip), port))
         offset += _HOST_ADDRESS.size
+    era = 0
+    if flags & ERA_FLAG:
+        (era,) = _ERA.unpack_from(datagram, offset)
     return digest_types.Digest(
         start,
         sequence,
@@ -128,4 +138,5 @@
         revision,
         busy_flows,
         tuple(hosts),
+        era,
     )
--- a/vanilladrum/wire/httpd.py
+++ b/vanilladrum/wire/httpd.py
@@ -29,21 +29,31 @@
     :param status: one of 200, 400, 404, 410, 413 and 503.
     :param compressed: whether the body is compressed in zlib format; it is
         not compressed here.
+    :param headers: further headers by name.
     """
 
     def __init__(
-        self, status: int, body: bytes = b"", compressed: bool = False
+        self,
+        status: int,
+        body: bytes = b"",
+        compressed: bool = False,
+        headers: dict[str, str] | None = None,
     ) -> None:
         self.status = status
         self.body = body
         self.compressed = compressed
+        self.headers = headers or {}
 
     def encode(self) -> bytes:
         """Return the status line, the headers and the body."""
-        encoding = "Content-Encoding: deflate\r\n" if self.compressed else ""
+        further = "".join(
+            f"{name}: {value}\r\n" for name, value in self.headers.items()
+        )
+        if self.compressed:
+            further += "Content-Encoding: deflate\r\n"
         head = (
             f"HTTP/1.1 {self.status} {_REASON_PHRASES[self.status]}\r\n"
-            f"Content-Type: text/plain; charset=utf-8\r\n{encoding}"
+            f"Content-Type: text/plain; charset=utf-8\r\n{further}"
             f"Content-Length: {len(self.body)}\r\n\r\n"
         )
         return head.encode() + self.body
