Keep the configuration in force through a restore of the store

Callers of a host that started before the operator had written again were served by an older configuration, or by none, for as long as the store had lost the newer one; other hosts that had it in force passed the older one on.

Cause: a mirror relayed what the store had listed last, and a host that was behind the others asked the store alone. Besides, a configuration with the number of the one in force was never adopted, though a restored store may give a lost number to another configuration.

Ruled out: that hosts which run go back (select_newer keeps the newer one).

Now a host relays the configuration that it has in force, with the era in which it was read; a host that is behind asks the store first and then a host that has the newer configuration in force; a configuration that is read in a later era replaces one with the same number; a newer configuration in an older list of another host is adopted.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -4,6 +4,7 @@
 
 from tests import flow_factories
 from tests import stored_objects
+from tests import test_list_watch
 from tests import test_loop
 from tests import test_watchers
 from vanilladrum.core import address as addresses
@@ -187,6 +188,40 @@
     assert called.count(("watch", "servers", at(2, 12))) == 1
 
 
+# A restored configuration must not replace a newer one that is in force.
+def test_configuration_never_goes_back_and_is_relayed(host):
+    receive_configuration(host, 90, 1, 9)
+    receive_configuration(host, 20, 2, 7)
+    assert host.core.configuration.generation == 9
+    assert relayed(host, "config").objects[0].content["version"] == 9
+    receive(host, "config", 21, 2)
+    assert relayed(host, "config").objects[0].content["version"] == 9
+    older = stored_objects.CONFIGURATION | {"version": 8}
+    receive(host, "config", 22, 2, ("main", older), changes=True)
+    receive(host, "config", 23, 2, ("main", {"version": 10}), changes=True)
+    receive(host, "config", 24, 2, ("main", None), changes=True)
+    assert relayed(host, "config").objects[0].content["version"] == 9
+    assert relayed(host, "config").position == at(2, 24)
+
+
+# The number of a lost configuration may be given to another one.
+def test_generation_given_out_again_is_adopted_in_the_later_era(host):
+    receive_configuration(host, 90, 1, 9)
+    receive_configuration(host, 20, 2, 9, routes=[])
+    assert host.core.configuration.routes == {}
+    receive_configuration(host, 21, 2, 9)
+    assert host.core.configuration.routes == {}
+
+
+# A host that relays a configuration of before the restore in a list of after
+# it must not make the others refuse the new one with the same number.
+def test_relayed_configuration_keeps_the_era_in_which_it_was_read(host):
+    receive_configuration(host, 90, 1, 9)
+    receive_configuration(host, 20, 2, 7)
+    listing = relayed(host, "config")
+    assert listing.era == 2 and listing.objects[0].era == 1
+
+
 # A follower from before the restore waited at a mirror from after it.
 @pytest.mark.parametrize("era", [1, 3])
 def test_mirror_answers_a_watch_of_another_era_with_410(host, era):
@@ -272,3 +307,40 @@
     selector._drop_lagging_source(now)
     selector._drop_lagging_source(now + source_selectors.MAX_LAG_SECONDS + 0.1)
     assert (source in selector._failed_at) is is_avoided
+
+
+# A host that lists a restored store after its start is behind the others.
+def test_configuration_that_the_store_has_lost_comes_from_another_host():
+    selector, _ = test_list_watch.make_source_selector(7, False)
+    watcher = selector.list_watchers[0]
+    later = test_list_watch.receive_digest_after_lag(selector)
+    requested = []
+    watcher.list_from = requested.append
+    selector._refresh_configuration(later)
+    watcher.listed_at_store = later + 0.1
+    late = later + source_selectors.RELIST_SECONDS + 0.1
+    selector.neighbours.receive(
+        test_watchers.host_at(2),
+        test_watchers.make_digest(3, generation=7),
+        late,
+    )
+    selector._refresh_configuration(late)
+    assert [each.address for each in requested] == [
+        selector.store_monitor.store.address,
+        test_watchers.host_at(2),
+    ]
+
+
+# Its position may be before this host's, its configuration is newer.
+def test_newer_configuration_in_an_older_list_is_adopted_and_relayed(host):
+    receive_configuration(host, 23, 2, 7)
+    watcher = watcher_of(host, "config")
+    peer = stores.Store(
+        host.loop, test_watchers.host_at(2), 0.3, is_mirror=True
+    )
+    watcher._current_source = peer
+    receive_configuration(host, 22, 2, 9)
+    assert host.core.configuration.generation == 9
+    assert watcher.position == at(2, 23)
+    assert relayed(host, "config").objects[0].content["version"] == 9
+    assert not host.source_selector._failed_at
--- a/tests/test_list_watch.py
+++ b/tests/test_list_watch.py
@@ -49,7 +49,9 @@
     list_watcher.restart = lambda delay=0.0: requested.append(
         "later" if delay else "followed host"
     )
-    list_watcher.list_from_store = lambda: requested.append("store")
+    list_watcher.list_from = lambda source: requested.append(
+        "store" if source is store else "other host"
+    )
     return source_selector, requested
 
 
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -258,6 +258,16 @@
             raise LookupError(f"no digest received from {host}")
         return found
 
+    def hosts_with_generation(
+        self, generation: int, now: float
+    ) -> list[addresses.Address]:
+        """Return the valid hosts that have a generation in force."""
+        return [
+            host
+            for host in self.valid_hosts(now)
+            if self.digest(host).generation == generation
+        ]
+
     def receivers(self, now: float) -> list[addresses.Address]:
         """Return the hosts to which the next digest is sent.
 
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -73,6 +73,7 @@
     :param routes: routes by packed address and port, 6 bytes.
     :param idle_timeout: seconds after which an idle flow may be removed.
     :param health_paths: URL path of the health check, by service.
+    :param era: number of restores of the store when it was read.
     """
 
     def __init__(
@@ -81,11 +82,13 @@
         routes: dict[bytes, Route],
         idle_timeout: float,
         health_paths: dict[str, str] | None = None,
+        era: int = 0,
     ) -> None:
         self.generation = generation
         self.routes = routes
         self.idle_timeout = idle_timeout
         self.health_paths = health_paths or {}
+        self.era = era
 
 
 # In force until the first configuration is adopted.
@@ -97,8 +100,16 @@
 ) -> FlowConfiguration:
     """Return the configuration with the higher generation.
 
-    If the generations are equal, the one in force is returned.
+    If the generations are equal, the one in force is returned, unless the
+    other one was read after a restore: the store may have lost the one in
+    force and given out its generation again.
     """
+    given_out_again = (
+        offered.generation == in_force.generation
+        and offered.era > in_force.era
+    )
+    if given_out_again:
+        return offered
     if generations.is_newer(in_force.generation, offered.generation):
         return offered
     return in_force
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -34,8 +34,12 @@
     :param batches_changes: whether to wait between a change and the next
         watch at the store, so that a kind that changes constantly does not
         cost one call per change.
+    :param is_versioned: whether the receiver itself recognizes older objects
+        of the kind, so that it may be offered those of an older listing.
     :param position: position of the store up to which changes were received,
         None before the first list.
+    :param listed_at_store: when the store itself last answered a list, in
+        monotonic seconds.
     """
 
     def __init__(
@@ -45,6 +49,7 @@
         on_listing: Callable[[tuple[objects.StoredObject, ...]], None],
         on_change: Callable[[objects.StoredObject], None],
         batches_changes: bool = False,
+        is_versioned: bool = False,
     ) -> None:
         self.source_selector = source_selector
         self.loop = source_selector.loop
@@ -52,7 +57,9 @@
         self.on_listing = on_listing
         self.on_change = on_change
         self.batches_changes = batches_changes
+        self.is_versioned = is_versioned
         self.position: positions.StorePosition | None = None
+        self.listed_at_store = float("-inf")
         self._needs_listing = True
         self._current_source = source_selector.store_monitor.store
         self._call_number = 0
@@ -79,11 +86,11 @@
         """Return whether data arrived within the last call timeout."""
         return self._current_source.is_receiving()
 
-    def list_from_store(self) -> None:
-        """List at the store itself, even while another host is followed."""
+    def list_from(self, source: stores.Store) -> None:
+        """List once at a source, even while another one is followed."""
         self._cancel()
         self._needs_listing = True
-        self._call_source(self.source_selector.store_monitor.store)
+        self._call_source(source)
 
     def list_again(self) -> None:
         """List at the current source if the known list is of another era.
@@ -153,7 +160,7 @@
         from the current source without a size limit.
         """
         if not self.source_selector.store_monitor.unreachable:
-            self.list_from_store()
+            self.list_from(self.source_selector.store_monitor.store)
             return
         self._needs_listing = True
         self._call_source(whole=True)
@@ -215,11 +222,15 @@
         return outcome.position < (self.position or positions.START)
 
     def _refuse(self, outcome: stores.Listing | stores.Changes) -> float:
-        """Take nothing from an older answer and avoid its source.
+        """Take no more from an older answer than newer objects.
 
         :returns: the delay before the next call, in seconds.
         """
         self._log_refused(outcome)
+        if self.is_versioned and isinstance(outcome, stores.Listing):
+            self.on_listing(outcome.objects)
+        if self._was_asked_once():
+            return 0.0
         self.source_selector.record_failure(
             self._current_source,
             errors.PlatformError(
@@ -228,11 +239,22 @@
         )
         return store_monitors.RETRY_DELAYS[0]
 
+    def _was_asked_once(self) -> bool:
+        """Return whether the last call went to another host than followed."""
+        source = self._current_source
+        return (
+            source.is_mirror
+            and source is not self.source_selector.current_client()
+        )
+
     def _apply_listing(self, listing: stores.Listing) -> float:
         self._needs_listing = False
         self.source_selector.mirror.replace_all(self.kind, listing)
         self.on_listing(listing.objects)
         self.position = listing.position
+        store_monitor = self.source_selector.store_monitor
+        if self._current_source is store_monitor.store:
+            self.listed_at_store = self.loop.now()
         if self.source_selector.followed_host is None:
             return SETTLE_SECONDS
         return 0.0
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -49,10 +49,13 @@
     :param kind: the kind.
     :param position: position of the store up to which changes were received,
         None before the first list.
+    :param listed_at_store: when the store itself last answered a list, in
+        monotonic seconds.
     """
 
     kind: str
     position: positions.StorePosition | None
+    listed_at_store: float
 
     def restart(self, delay: float = 0.0) -> None:
         """Cancel the current call and make a new one after a delay."""
@@ -60,8 +63,8 @@
     def is_receiving(self) -> bool:
         """Return whether an answer is arriving now."""
 
-    def list_from_store(self) -> None:
-        """List at the store itself, even while a host is followed."""
+    def list_from(self, source: stores.Store) -> None:
+        """List once at a source, even while another one is followed."""
 
     def list_again(self) -> None:
         """List at the current source if the known list is of another era."""
@@ -101,6 +104,9 @@
         self._failed_at: dict[addresses.Address, float] = {}
         self._source_lag_start = loop.now()
         self._configuration_lag_start = loop.now()
+        # When the store was asked for the generation, and the generation.
+        self._asked_store_at = loop.now()
+        self._asked_generation = 0
         self._started = False
         store_monitor.on_recovered = self._restart_list_watchers
         store_monitor.on_restored = self._list_again
@@ -110,11 +116,7 @@
         """Return the client of the current source."""
         if self.followed_host is None:
             return self.store_monitor.store
-        if self.followed_host not in self._peer_clients:
-            self._peer_clients[self.followed_host] = stores.Store(
-                self.loop, self.followed_host, PEER_TIMEOUT, is_mirror=True
-            )
-        return self._peer_clients[self.followed_host]
+        return self._peer_client(self.followed_host)
 
     @property
     def receives_from_store(self) -> bool:
@@ -222,6 +224,13 @@
             "source avoided", host=host, reason=reason
         )
 
+    def _peer_client(self, host: addresses.Address) -> stores.Store:
+        if host not in self._peer_clients:
+            self._peer_clients[host] = stores.Store(
+                self.loop, host, PEER_TIMEOUT, is_mirror=True
+            )
+        return self._peer_clients[host]
+
     def _may_find_watcher(self) -> bool:
         """Return whether a digest may soon show another host to follow.
 
@@ -278,7 +287,8 @@
         """List the configuration again if other hosts have a newer one.
 
         It is listed at the store if that is reachable, otherwise at the
-        current source.
+        current source. A restored store may have lost it; then it is listed
+        at a host that has it in force.
         """
         newest = self.neighbours.newest_generation
         arriving = any(each.is_receiving() for each in self.list_watchers)
@@ -296,10 +306,26 @@
             for list_watcher in self.list_watchers:
                 if list_watcher.kind != objects.CONFIGURATION_KIND:
                     continue
-                if self.store_monitor.unreachable:
-                    list_watcher.restart()
-                else:
-                    list_watcher.list_from_store()
+                self._request_configuration(list_watcher, newest, now)
+
+    def _request_configuration(
+        self, list_watcher: Reader, generation: int, now: float
+    ) -> None:
+        if self.store_monitor.unreachable:
+            list_watcher.restart()
+            return
+        store_lacks_it = (
+            self._asked_generation == generation
+            and list_watcher.listed_at_store > self._asked_store_at
+        )
+        hosts = self.neighbours.hosts_with_generation(generation, now)
+        if store_lacks_it and hosts:
+            host = self.neighbours.rng.choice(hosts)
+            list_watcher.list_from(self._peer_client(host))
+            return
+        self._asked_generation = generation
+        self._asked_store_at = now
+        list_watcher.list_from(self.store_monitor.store)
 
     def _list_again(self) -> None:
         for list_watcher in self.list_watchers:
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -51,6 +51,8 @@
         self.log = log
         self.on_known = on_known
         self.has_servers = False
+        # The object that contained the configuration in force.
+        self._configuration: objects.StoredObject | None = None
         self.follows_source = False
         self.mirror = mirrors.Mirror(loop)
         store = stores.Store(
@@ -76,6 +78,7 @@
             objects.CONFIGURATION_KIND,
             self._configurations_listed,
             self._configuration_changed,
+            is_versioned=True,
         )
         self.endpoint = httpd.HttpEndpoint(loop, mirrors.serve(self.mirror))
         self.endpoint.listen(settings.peer)
@@ -130,17 +133,26 @@
     ) -> None:
         for each in listed:
             self._configuration_changed(each)
+        self._relay_configuration()
 
     def _configuration_changed(self, changed: objects.StoredObject) -> None:
-        if changed.name != objects.CONFIGURATION_NAME or changed.deleted:
+        if changed.name != objects.CONFIGURATION_NAME:
+            return
+        if changed.deleted:
+            self._relay_configuration()
             return
         try:
             offered = objects.parse_configuration(changed)
         except errors.PlatformError as error:
             self.log.event("configuration refused", reason=str(error))
+            self._relay_configuration()
             return
         before = self.core.configuration.generation
         adopted = self.core.configure(offered)
+        if adopted:
+            self._configuration = changed
+        else:
+            self._relay_configuration()
         self.log.event(
             "configuration adopted" if adopted else "configuration kept",
             offered=offered.generation,
@@ -151,6 +163,14 @@
         )
         self._notify_if_known()
 
+    def _relay_configuration(self) -> None:
+        """Relay the configuration in force instead of the store's.
+
+        A restored store has an older one or none for a while.
+        """
+        if self._configuration is not None:
+            self.mirror.keep(objects.CONFIGURATION_KIND, self._configuration)
+
     def _servers_listed(
         self, listed: tuple[objects.StoredObject, ...]
     ) -> None:
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -215,6 +215,16 @@
         if changes.objects:
             self._answer_pending(mirrored)
 
+    def keep(self, kind: str, kept: objects.StoredObject) -> None:
+        """Relay an object instead of what the store has under its name.
+
+        After a restore the store may have an older one for a while.
+        """
+        mirrored = self.kinds[kind]
+        metadata = kept.plain["meta"] | {objects.ERA_FIELD: kept.era}
+        mirrored.raw_objects[kept.name] = kept.plain | {"meta": metadata}
+        mirrored.clear_cached_answers()
+
     def handle(self, request: httpd.Request) -> None:
         """Handle the HTTP request of a list or a watch.
 
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -14,6 +14,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 SERVER_KIND = "servers"
+# Field of the metadata that entry hosts add to an object of an earlier era.
+ERA_FIELD = "era"
 SECONDS_PER_MS = 0.001
 # Types of routes whose requests are idempotent.
 _REPEATABLE_TYPES = ("safe", "download")
@@ -68,7 +70,8 @@
 
     :param plain: the object as decoded from JSON.
     :param deleted: whether the event reports its deletion.
-    :param era: number of restores of the store that sent it.
+    :param era: number of restores of the store that sent it. An object that
+        another host has kept through a restore has its own.
     :raises PlatformError: when the name or the revision is missing.
     """
     try:
@@ -79,7 +82,7 @@
             plain.get("spec"),
             deleted,
             plain,
-            era,
+            expect_int(meta.get(ERA_FIELD, era)),
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise errors.PlatformError(
@@ -136,6 +139,7 @@
                 )
                 for each in content["services"]
             },
+            era=entry.era,
         )
     except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
