Compare entries of servers by their own numbers after a restore

Cause: the store's order was taken for the order in which servers write. That holds within an era; a restored store has older entries until the servers write again, and entries whose servers have gone until they expire.

Now hosts remember start time and sequence number of the entries that they have read, and of those that were removed, and in which era. In a later era an older entry does not replace a newer one. An entry that had been removed is withheld until the store would have removed it again (three heartbeats, which the settings give, and a margin); a newer entry is used at once. A further restore begins that time anew. Within an era nothing is compared, since a server may be counted anew there.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -9,9 +9,11 @@
 from tests import test_watchers
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
+from vanilladrum.core import entry_order
 from vanilladrum.core import errors
 from vanilladrum.core import position as positions
 from vanilladrum.core import routes
+from vanilladrum.core import serverstate
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import state_sync as state_syncs
@@ -26,6 +28,10 @@
 LEAVING = {**stored_objects.SERVER_ENTRY, "state": "draining", "sequence": 9}
 
 
+def make_server(sequence=1, started=1000):
+    return flow_factories.make_server(1, started=started, sequence=sequence)
+
+
 def at(era, revision):
     return positions.StorePosition(era, revision)
 
@@ -222,6 +228,112 @@
     assert listing.era == 2 and listing.objects[0].era == 1
 
 
+# A leaving server is listed as ready by a store that has lost its entry.
+def test_leaving_server_is_not_used_again_until_it_writes(host):
+    entry = stored_objects.SERVER_ENTRY
+    receive(host, "servers", 10, 1, ("i-1", entry))
+    receive(host, "servers", 11, 1, ("i-1", LEAVING), changes=True)
+    for revision in (5, 6):
+        receive(host, "servers", revision, 2, ("i-1", entry))
+        server = host.core.directory.servers["i-1"]
+        assert server.state is serverstate.ServerState.LEAVING
+    again = {**entry, "sequence": 10}
+    receive(host, "servers", 7, 2, ("i-1", again), changes=True)
+    server = host.core.directory.servers["i-1"]
+    assert server.state is serverstate.ServerState.ACTIVE
+
+
+def receive_removal_and_restore(host):
+    """Make the host read an entry again that was removed before a restore."""
+    receive(host, "servers", 10, 1, ("i-1", LEAVING))
+    receive(host, "servers", 11, 1, ("i-1", None), changes=True)
+    receive(host, "servers", 5, 2, ("i-1", stored_objects.SERVER_ENTRY))
+
+
+def run_for(host, seconds):
+    host.loop.after(seconds, host.loop.stop)
+    host.loop.run()
+
+
+# A server that left was in use again when the store was restored.
+def test_server_that_left_is_withheld_until_its_entry_would_expire(host):
+    host._expiry_seconds = 0.05
+    receive_removal_and_restore(host)
+    assert not host.core.directory.servers
+    receive(host, "servers", 6, 2, ("i-1", stored_objects.SERVER_ENTRY))
+    assert not host.core.directory.servers
+    run_for(host, 0.1)
+    assert "i-1" in host.core.directory.servers
+
+
+# The second restore begins the lifetime of the entry anew; the end of the
+# first one made the server be used.
+def test_server_that_left_is_withheld_anew_after_a_second_restore(host):
+    host._expiry_seconds = 0.1
+    receive_removal_and_restore(host)
+    run_for(host, 0.06)
+    receive(host, "servers", 6, 2, ("i-1", None), changes=True)
+    receive(host, "servers", 5, 3, ("i-1", stored_objects.SERVER_ENTRY))
+    run_for(host, 0.06)
+    assert not host.core.directory.servers
+    run_for(host, 0.06)
+    assert "i-1" in host.core.directory.servers
+
+
+def test_entry_is_withheld_as_long_as_the_settings_say(host):
+    assert host._expiry_seconds == pytest.approx(6.4)
+
+
+def test_server_that_starts_again_under_its_id_is_used_at_once(host):
+    receive(host, "servers", 10, 1, ("i-1", LEAVING))
+    receive(host, "servers", 11, 1, ("i-1", None), changes=True)
+    born = LEAVING["born"] + 1
+    reborn = {**stored_objects.SERVER_ENTRY, "born": born, "sequence": 1}
+    receive(host, "servers", 5, 2, ("i-1", reborn))
+    assert "i-1" in host.core.directory.servers
+
+
+@pytest.mark.parametrize(
+    "era,sequence,is_older", [(1, 4, False), (2, 4, True), (2, 5, False)]
+)
+def test_only_entries_of_a_later_era_are_compared_by_sequence(
+    era, sequence, is_older
+):
+    order = entry_order.EntryOrder()
+    order.record(make_server(sequence=5), 1)
+    assert order.is_older(make_server(sequence=sequence), era) is is_older
+
+
+@pytest.mark.parametrize(
+    "era,sequence,is_removed",
+    [(1, 5, False), (2, 5, True), (2, 6, False), (2, 4, True)],
+)
+def test_removed_entry_is_recognized_in_a_later_era(era, sequence, is_removed):
+    order = entry_order.EntryOrder()
+    order.record(make_server(sequence=5), 1)
+    order.record_removal(make_server().name, 1)
+    found = order.is_removed(make_server(sequence=sequence), era)
+    assert found is is_removed
+
+
+# The absence from a restored list is no sign that a server has gone.
+def test_entry_missing_from_a_restored_list_may_be_written_as_it_was():
+    order = entry_order.EntryOrder()
+    order.record(make_server(sequence=5), 1)
+    order.record_removal(make_server().name, 2)
+    assert not order.is_removed(make_server(sequence=5), 2)
+
+
+def test_removed_entries_that_are_remembered_are_bounded(monkeypatch):
+    monkeypatch.setattr(entry_order, "MAX_REMOVED", 2)
+    order = entry_order.EntryOrder()
+    for number in range(5):
+        server = flow_factories.make_server(number)
+        order.record(server, 1)
+        order.record_removal(server.name, 1)
+    assert len(order._removed) == 2
+
+
 # A follower from before the restore waited at a mirror from after it.
 @pytest.mark.parametrize("era", [1, 3])
 def test_mirror_answers_a_watch_of_another_era_with_410(host, era):
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -30,6 +30,8 @@
     :param state: whether it accepts new flows.
     :param warm_up: seconds of reduced speed that were left when the entry
         was written.
+    :param sequence: increases with each entry that the server writes after
+        its start.
     :param tag: identifies the server in packets; never 0.
     """
 
@@ -44,6 +46,7 @@
         slots: int,
         state: serverstate.ServerState,
         warm_up: float = 0.0,
+        sequence: int = 0,
     ) -> None:
         self.name = name
         self.wire_id = wire_id
@@ -54,6 +57,7 @@
         self.slots = slots
         self.state = state
         self.warm_up = warm_up
+        self.sequence = sequence
         self.tag = make_tag(name)
 
 
@@ -189,6 +193,10 @@
         if name in self.servers:
             self.pending_removal.setdefault(name, until)
 
+    def cancel_removal(self, name: str) -> None:
+        """Cancel the removal of a server that is listed again."""
+        self.pending_removal.pop(name, None)
+
     def remove_missing(self, now: float) -> list[str]:
         """Remove the servers whose entries did not reappear in time.
 
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from vanilladrum.core import backend as backends
+from vanilladrum.core import entry_order
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
 from vanilladrum.core import position as positions
@@ -22,6 +24,20 @@
 # Longest interval between two ticks while other hosts or this one wait for
 # an answer, in seconds; a fraction of the time that they wait beyond a watch.
 BUSY_TICK_SECONDS = 0.1
+# The store removes an entry whose server has missed this many heartbeats.
+MISSED_HEARTBEATS = 3
+# Time in seconds for the removal to reach this host.
+REMOVAL_MARGIN_SECONDS = 0.4
+
+
+class _WithheldEntry:
+    """The entry of a server that had gone before the store was restored.
+
+    :param entry: the entry as it was received last.
+    """
+
+    def __init__(self, entry: objects.StoredObject) -> None:
+        self.entry = entry
 
 
 class StateSync:
@@ -53,6 +69,11 @@
         self.has_servers = False
         # The object that contained the configuration in force.
         self._configuration: objects.StoredObject | None = None
+        self._entry_order = entry_order.EntryOrder()
+        self._withheld: dict[str, _WithheldEntry] = {}
+        self._expiry_seconds = (
+            MISSED_HEARTBEATS * settings.heartbeat + REMOVAL_MARGIN_SECONDS
+        )
         self.follows_source = False
         self.mirror = mirrors.Mirror(loop)
         store = stores.Store(
@@ -175,16 +196,19 @@
         self, listed: tuple[objects.StoredObject, ...]
     ) -> None:
         names = {each.name for each in listed}
+        for name in self._withheld.keys() - names:
+            del self._withheld[name]
+        era = self.servers_position.era
         for name in list(self.core.directory.servers):
             if name not in names:
-                self._remove_server(name)
+                self._remove_server(name, era)
         for each in listed:
             self._update_server(each, is_logged=self.has_servers)
         self.has_servers = True
         self.log.event(
             "servers listed",
             servers=len(self.core.directory.servers),
-            era=self.servers_position.era,
+            era=era,
             revision=self.servers_position.revision,
         )
         self._notify_if_known()
@@ -202,14 +226,55 @@
             servers would delay the first packet.
         """
         if changed.deleted:
-            self._remove_server(changed.name)
+            self._remove_server(changed.name, changed.era)
             return
         try:
             server = objects.parse_server(changed)
         except errors.PlatformError as error:
             self.log.event("server refused", reason=str(error))
-            self._remove_server(changed.name)
+            self._remove_server(changed.name, changed.era)
+            return
+        if self._entry_order.is_older(server, changed.era):
+            self.log.event("server kept", server=server.name, era=changed.era)
+            self.core.directory.cancel_removal(server.name)
             return
+        if self._entry_order.is_removed(server, changed.era):
+            self._withhold(changed)
+            return
+        self._use_server(server, changed, is_logged)
+
+    def _withhold(self, entry: objects.StoredObject) -> None:
+        """Do not use a restored entry until it would have expired.
+
+        A server that is alive writes a newer one. The store removes the entry
+        of a server that has gone; if it is still there after that time, its
+        server is alive too.
+        """
+        known = self._withheld.get(entry.name)
+        if known is not None and known.entry.era == entry.era:
+            known.entry = entry
+            return
+        withheld = _WithheldEntry(entry)
+        self._withheld[entry.name] = withheld
+        self.log.event("server withheld", server=entry.name, era=entry.era)
+        self.loop.after(
+            self._expiry_seconds, lambda: self._use_withheld(withheld)
+        )
+
+    def _use_withheld(self, withheld: _WithheldEntry) -> None:
+        """Use an entry that was neither removed nor lost by a restore."""
+        entry = withheld.entry
+        if self._withheld.get(entry.name) is withheld:
+            self._use_server(objects.parse_server(entry), entry, True)
+
+    def _use_server(
+        self,
+        server: backends.Backend,
+        changed: objects.StoredObject,
+        is_logged: bool,
+    ) -> None:
+        self._withheld.pop(server.name, None)
+        self._entry_order.record(server, changed.era)
         previous = self.core.directory.servers.get(server.name)
         self.core.directory.update(server)
         if not is_logged:
@@ -223,7 +288,9 @@
                 revision=changed.revision,
             )
 
-    def _remove_server(self, name: str) -> None:
+    def _remove_server(self, name: str, era: int) -> None:
+        self._withheld.pop(name, None)
+        self._entry_order.record_removal(name, era)
         self.core.handle_removed_entry(name, self.loop.now())
         self.log.event(
             "server entry gone",
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -111,6 +111,7 @@
             # Remaining warm-up time when the entry was written.
             warm_up=expect_int(content.get("warmup-left-ms", 0))
             * SECONDS_PER_MS,
+            sequence=expect_int(content.get("sequence", 0)),
         )
     except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -9,6 +9,7 @@
 PATH_VARIABLE = "VANILLADRUM_NODE_FILE"
 METRICS_VARIABLE = "VANILLADRUM_METRICS_PORT"
 DEFAULT_PATH = "/etc/vanilladrum/settings.conf"
+SECONDS_PER_MS = 0.001
 
 
 class NodeSettings:
@@ -25,6 +26,7 @@
     :param metrics: endpoint of the metrics page, None for no page.
     :param grace: seconds between SIGTERM and SIGKILL.
     :param flow_lifetime: longest lifetime of a flow, in seconds.
+    :param heartbeat: interval between two writes of a server, in seconds.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         metrics: addresses.Address | None,
         grace: float,
         flow_lifetime: float,
+        heartbeat: float,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -50,6 +53,7 @@
         self.metrics = metrics
         self.grace = grace
         self.flow_lifetime = flow_lifetime
+        self.heartbeat = heartbeat
 
 
 def path() -> str:
@@ -99,6 +103,7 @@
         metrics=_metrics(reader.text("ip"), file_path),
         grace=reader.number("bounds.grace-s", 6.0),
         flow_lifetime=reader.number("bounds.flow-ttl-s", 60.0),
+        heartbeat=reader.number("heartbeat-ms", 1200.0) * SECONDS_PER_MS,
     )
 
 
