Keep servers that a restored store has lost until they have written again

Callers lost servers that had started after the copy was made: they are missing from the list of a restored store until they write again, and a host that had seen no outage (its calls were answered before and after) removed them after the usual delay. New flows then went to the servers that were left.

Cause: entries may return for a while after an outage that a host has noticed itself; a restore that is shown by the era alone was not such an outage.

Now the time in which entries may return also begins when an answer shows a new era.

test_server_that_the_store_has_lost_stays_in_use_for_a_while and the last two assertions of test_new_era_makes_all_kinds_be_listed_again fail without the change.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -17,6 +17,7 @@
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import state_sync as state_syncs
+from vanilladrum.daemons import store_monitor as store_monitors
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
 from vanilladrum.platform import settings as node_settings
@@ -180,6 +181,8 @@
     else:
         receive(host, "servers", 12, 2)
     assert ("list", "config") in host.store_monitor.store.called
+    assert host.store_monitor.restored_recently()
+    assert host.source_selector.entries_may_return
 
 
 # A restarted watcher otherwise made two calls, one of them never cancelled.
@@ -293,6 +296,21 @@
     assert "i-1" in host.core.directory.servers
 
 
+# A server that started after the copy is missing from the restored list.
+def test_server_that_the_store_has_lost_stays_in_use_for_a_while(host):
+    receive(host, "servers", 10, 1, ("i-1", stored_objects.SERVER_ENTRY))
+    receive(host, "servers", 5, 2)
+    host.tick()
+    assert host.core.entries_may_return
+    now = host.loop.now()
+    host.core.tick(now + store_monitors.REREGISTRATION_SECONDS)
+    assert "i-1" in host.core.directory.servers
+    again = stored_objects.SERVER_ENTRY
+    receive(host, "servers", 6, 2, ("i-1", again), changes=True)
+    assert "i-1" in host.core.directory.servers
+    assert not host.core.directory.pending_removal
+
+
 @pytest.mark.parametrize(
     "era,sequence,is_older", [(1, 4, False), (2, 4, True), (2, 5, False)]
 )
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -140,8 +140,11 @@
     def entries_may_return(self) -> bool:
         """Return whether expired entries may still be registered again.
 
-        A host that follows another one relies on that host's digest.
+        A host that follows another one relies on that host's digest, unless
+        it has noticed a restore itself.
         """
+        if self.store_monitor.restored_recently():
+            return True
         neighbour = self._followed_neighbour()
         if neighbour is None or neighbour.digest is None:
             return self.store_monitor.recovered_recently()
--- a/vanilladrum/daemons/store_monitor.py
+++ b/vanilladrum/daemons/store_monitor.py
@@ -26,6 +26,7 @@
     :param recovered_at: when the last outage ended, in monotonic seconds.
     :param era: number of restores of the store as far as known, 0 before the
         first answer.
+    :param restored_at: when a restore was noticed last, in monotonic seconds.
     :param unreachable: whether the last call to the store failed.
     :param watches_store: whether this host watches the store at present; only
         then is an idle store pinged.
@@ -43,6 +44,7 @@
         self.last_answer_at = float("-inf")
         self.recovered_at = float("-inf")
         self.era = 0
+        self.restored_at = float("-inf")
         self.unreachable = False
         self.watches_store = False
         self.on_recovered: Callable[[], None] = lambda: None
@@ -76,6 +78,7 @@
         before, self.era = self.era, era
         self.log.event("store era", era=era, before=before)
         if before:
+            self.restored_at = self.loop.now()
             self.on_restored()
 
     def record_failure(self, error: errors.PlatformError) -> None:
@@ -105,6 +108,13 @@
             or self.loop.now() - self.recovered_at < REREGISTRATION_SECONDS
         )
 
+    def restored_recently(self) -> bool:
+        """Return whether the store was restored so recently.
+
+        In that time entries that it lost may still be registered again.
+        """
+        return self.loop.now() - self.restored_at < REREGISTRATION_SECONDS
+
     def tick(self) -> None:
         """Ping the store if it was idle for too long or a retry is due."""
         now = self.loop.now()
