--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -18,6 +18,7 @@
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import state_sync as state_syncs
 from vanilladrum.daemons import store_monitor as store_monitors
+from vanilladrum.platform import answers
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
 from vanilladrum.platform import settings as node_settings
@@ -125,7 +126,7 @@
     client = stores.Store(loops.Loop(), addresses.Address("h", 1), 0.3)
     outcomes = []
     client._call = lambda method, path, read, done: done(
-        stores._read("GET", answer, read, False)
+        answers.read_answer("GET", answer, read, False)
     )
     client.list(kind, outcomes.append)
     return outcomes[0]
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -29,6 +29,7 @@
 from vanilladrum.daemons import packet_forwarder
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import store_monitor as store_monitors
+from vanilladrum.platform import answers
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
@@ -231,7 +232,7 @@
         1,
     )
     assert body.compressed
-    outcome = stores._read(
+    outcome = answers.read_answer(
         "GET",
         connections.Answer(200, body.body[:-missing], True),
         lambda document, _: document,
@@ -405,12 +406,12 @@
     outcomes = []
     client = stores.Store(loops.Loop(), ANY, 0.3)
     client._call = lambda method, path, read, done, **_: done(
-        stores._read("GET", _make_ok(document), read, False)
+        answers.read_answer("GET", _make_ok(document), read, False)
     )
     client.list("servers", outcomes.append)
     assert len(outcomes) == 1
     client._call = lambda method, path, read, done, **_: outcomes.append(
-        stores._read("GET", _make_ok(document), read, False)
+        answers.read_answer("GET", _make_ok(document), read, False)
     )
     client.watch("servers", positions.START, 0.1, outcomes.append)
     assert len(outcomes) == 2
@@ -419,7 +420,9 @@
 def test_deeply_nested_answer_is_refused():
     body = b"[" * 100_000
     answer = connections.Answer(200, body)
-    outcome = stores._read("GET", answer, lambda document, _: document, False)
+    outcome = answers.read_answer(
+        "GET", answer, lambda document, _: document, False
+    )
     assert isinstance(outcome, errors.PlatformError)
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,6 +12,7 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import position as positions
+from vanilladrum.platform import answers
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import store as stores
 from vanilladrum.wire import httpd
@@ -298,7 +299,7 @@
 
 
 def test_answer_that_decompresses_above_the_limit_is_an_error(fake_store):
-    compressed = zlib.compress(bytes(stores.MAX_DECOMPRESSED_BYTES + 1))
+    compressed = zlib.compress(bytes(answers.MAX_DECOMPRESSED_BYTES + 1))
     fake_store.answers = [httpd.Response(200, compressed, compressed=True)]
     outcome = fake_store.wait_for_outcome(fake_store.client.list, "servers")
     assert type(outcome) is errors.PlatformError
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -7,33 +7,23 @@
 
 import collections
 from collections.abc import Callable
-import json
 from typing import Any
-import zlib
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import position as positions
+from vanilladrum.platform import answers
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
 from vanilladrum.wire import loop as loops
 
 # Idle connections that stay open for further calls of one kind.
 MAX_IDLE_CONNECTIONS = 2
-# Largest size of a decompressed response, in bytes; eight pages of a list.
-MAX_DECOMPRESSED_BYTES = 8_000_000
 OBJECTS_PATH = "/vanilladrum/objects"
-_OK = 200
-_NOT_FOUND = 404
-_CONFLICT = 409
-_GONE = 410
-_TOO_LARGE = 413
 # Query parameter that asks an entry host for a list of any size.
 WHOLE_PARAMETER = "whole"
 # Query parameter of a watch at an entry host: the era of its revision.
 ERA_PARAMETER = "era"
-# Statuses of a call that the store did not process.
-_UNAVAILABLE = (429, 503)
 
 
 class Listing:
@@ -94,22 +84,6 @@
         self.era = era
 
 
-# Converts the decoded JSON document and the era of an answer to its value.
-Reader = Callable[[dict, int], object]
-
-
-# Errors that content of another form raises; a document that is nested too
-# deeply raises RecursionError.
-_UNREADABLE = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    RecursionError,
-    zlib.error,
-)
-
-
 class Store:
     """Client of the store, or of an entry host that mirrors it.
 
@@ -263,7 +237,7 @@
         self,
         method: str,
         path: str,
-        read: Reader,
+        read: answers.Reader,
         done: connections.Done,
         wait: float = 0.0,
         allow_not_found: bool = False,
@@ -279,7 +253,11 @@
                 done(self._timeout_error(request_line, outcome))
                 return
             self._release(call.connection, kind)
-            done(_read(request_line, outcome, read, allow_not_found))
+            done(
+                answers.read_answer(
+                    request_line, outcome, read, allow_not_found
+                )
+            )
 
         def check_idle_time(reason: str = "timeout") -> None:
             # A large answer may take long on a slow link. The call fails only
@@ -367,65 +345,5 @@
     )
 
 
-def _read(
-    request_line: str,
-    answer: connections.Answer,
-    read: Reader,
-    allow_not_found: bool,
-) -> object:
-    """Return the value that an answer contains, or a PlatformError."""
-    status, body, compressed, era = answer
-    if status in _UNAVAILABLE:
-        return errors.StoreRejectedError(
-            f"the store answered {status} to {request_line} and did nothing; "
-            "try again later"
-        )
-    if status == _GONE:
-        return errors.HistoryExpiredError(
-            f"the store has no history for {request_line}; list the objects "
-            "again"
-        )
-    if status == _TOO_LARGE:
-        return errors.AnswerTooLargeError(
-            f"the answer to {request_line} is too large for an entry host to "
-            "relay; send the request to the store"
-        )
-    if status == _CONFLICT:
-        return errors.ConflictError(
-            f"{request_line} was refused: the object has changed; read it and "
-            "repeat the change"
-        )
-    if status != _OK and not (status == _NOT_FOUND and allow_not_found):
-        return errors.PlatformError(
-            f"the store answered {status} to {request_line}; see the store's "
-            "documentation of this call"
-        )
-    try:
-        content = _decompress(body) if compressed else body
-        return read(json.loads(content or b"{}"), era)
-    except errors.PlatformError as error:
-        return error
-    except _UNREADABLE as error:
-        return errors.PlatformError(
-            f"the store's answer to {request_line} cannot be read "
-            f"({error!r}); check for proxies on the path to the store"
-        )
-
-
 def _revision(document: dict) -> int:
     return objects.expect_int(document["store-revision"])
-
-
-def _decompress(body: bytes) -> bytes:
-    """Return the decompressed body.
-
-    :raises ValueError: when it is incomplete or exceeds
-        MAX_DECOMPRESSED_BYTES.
-    """
-    decompressor = zlib.decompressobj()
-    decompressed = decompressor.decompress(body, MAX_DECOMPRESSED_BYTES)
-    if decompressor.unconsumed_tail:
-        raise ValueError(f"more than {MAX_DECOMPRESSED_BYTES} bytes")
-    if not decompressor.eof:
-        raise ValueError("the compressed body is incomplete")
-    return decompressed
