Adopt a configuration at a version that the platform has given out again

A platform restored from a backup gives the version of a lost configuration to the next one; a host that had not seen the version in between missed that configuration until the one after it, unless another host announced it.

Now every answer is offered to the host, which compares generations; these are not given out again, since they are at least the wall-clock time.

--- a/vanilladrum/daemons/configuration_sync.py
+++ b/vanilladrum/daemons/configuration_sync.py
@@ -92,7 +92,9 @@
         stored = await self.platform.watch(
             CONFIGURATION_KIND, CONFIGURATION_NAME, version
         )
-        if stored.version and stored.version != version:
+        if stored.version:
+            # Also at an unchanged version: a restored platform gives it out
+            # again. An older configuration is recognized by its generation.
             fleet = document.read_fleet(stored.value, "configuration/fleet")
             await self.adopt(fleet)
         return stored.version
