Write the status again that a restored platform has lost

Operators saw an older status, or none, after the platform had been restored from a backup, until the next configuration was in force: the first watcher of a data centre writes the status only if it differs from what it wrote last.

Now it also checks every 30 s whether the platform still has the status and writes it if not; an unchanged status costs one read and no update.

test_status_that_a_restore_has_lost_is_written_again fails without the change.

--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -1,5 +1,6 @@
 """How entry hosts follow and report configurations at the platform."""
 
+import asyncio
 import types
 
 import attrs
@@ -63,3 +64,20 @@
         )
         assert await sync._watch_once(5) == 5
     assert sync.core.configured == [3, 4]
+
+
+# The status stayed lost until the next change of the configuration.
+async def test_status_that_a_restore_has_lost_is_written_again(
+    sync, monkeypatch
+):
+    monkeypatch.setattr(configuration_sync, "STATUS_INTERVAL_SECONDS", 0.001)
+    monkeypatch.setattr(configuration_sync, "STATUS_CHECK_SECONDS", 0.02)
+    reporting = asyncio.create_task(sync.report_status())
+    await asyncio.sleep(0.2)
+    assert sync.platform.updates == 1
+    sync.platform.objects.clear()
+    await asyncio.sleep(0.2)
+    reporting.cancel()
+    assert sync.platform.updates == 2
+    status = sync.platform.objects["status", "bilbao"].value
+    assert status == {"generation": 0, "hosts": {"1": 0}}
--- a/vanilladrum/daemons/configuration_sync.py
+++ b/vanilladrum/daemons/configuration_sync.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 import attrs
 import cbor2
@@ -31,6 +32,8 @@
 # Further failures do not lengthen the delay.
 MAX_BACKOFF_EXPONENT = 10
 STATUS_INTERVAL_SECONDS = 0.5
+# Interval between two checks that the platform still has the status.
+STATUS_CHECK_SECONDS = 30.0
 STATUS_KIND = "status"
 CONFIGURATION_KIND = "configuration"
 CONFIGURATION_NAME = "fleet"
@@ -102,10 +105,11 @@
     async def report_status(self) -> None:
         """Report the generations in this data centre until cancelled.
 
-        Only the first watcher writes to the platform, and only after a
-        change. Failed writes are logged and retried.
+        Only the first watcher calls the platform, after a change and every
+        ``STATUS_CHECK_SECONDS``. Failed calls are logged and retried.
         """
         last_written: dict = {}
+        check_at = 0.0
         while True:
             await asyncio.sleep(STATUS_INTERVAL_SECONDS)
             ranked = self._ranked_local_hosts()
@@ -114,11 +118,13 @@
             ]:
                 continue
             status = self._status(ranked)
-            if status == last_written:
+            now = time.monotonic()
+            if status == last_written and now < check_at:
                 continue
             try:
                 await self._write_status(status)
                 last_written = status
+                check_at = now + STATUS_CHECK_SECONDS
             except errors.PlatformError as error:
                 log.warning("status not written", reason=str(error))
                 await asyncio.sleep(self._backoff(MAX_BACKOFF_EXPONENT))
@@ -138,6 +144,8 @@
     async def _write_status(self, status: dict) -> None:
         name = self.core.membership.own_entry.data_centre
         current = await self.platform.get(STATUS_KIND, name)
+        if current.value == status:
+            return
         await self.platform.put(STATUS_KIND, name, status, current.version)
 
     def _ranked_local_hosts(self) -> list[peer_messages.Member]:
