Compare numbers of servers only in lists that may be from before a restore

Callers' new flows could go to a server that leaves (DRAIN) if the server had started again with an earlier time of day before the store was restored: each entry that it wrote in the new era, its drain too, looked older than the one known from before and was ignored for good. A server that had been removed and then registered again as it was had to wait until its old entry would have expired.

Cause: start time and sequence number were compared for all entries of a later era. Only entries of the copy need that. A change that arrives in an era was written in it, and a list has none of the copy's entries left once the store has removed those of servers that do not write.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -27,6 +27,7 @@
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
 
+LEAVING_STATE = serverstate.ServerState.LEAVING
 LEAVING = {**stored_objects.SERVER_ENTRY, "state": "draining", "sequence": 9}
 
 
@@ -297,6 +298,39 @@
     assert "i-1" in host.core.directory.servers
 
 
+# A server whose clock was set back before it started again seemed to write
+# older entries from then on, so its drain was ignored.
+def test_drain_of_a_server_with_an_earlier_start_time_is_noticed(host):
+    entry = stored_objects.SERVER_ENTRY
+    receive(host, "servers", 10, 1, ("i-1", {**entry, "sequence": 8}))
+    receive(host, "servers", 5, 2, ("i-1", entry))
+    earlier = {**LEAVING, "born": entry["born"] - 1, "sequence": 1}
+    receive(host, "servers", 6, 2, ("i-1", earlier), changes=True)
+    server = host.core.directory.servers["i-1"]
+    assert server.state is serverstate.ServerState.LEAVING
+
+
+# A host that missed the change reads the same entry from a list.
+def test_list_is_used_as_it_is_once_older_entries_have_expired(host):
+    host._expiry_seconds = 0.05
+    entry = stored_objects.SERVER_ENTRY
+    receive(host, "servers", 10, 1, ("i-1", {**entry, "sequence": 8}))
+    earlier = {**LEAVING, "born": entry["born"] - 1, "sequence": 1}
+    for expected in serverstate.ServerState.ACTIVE, LEAVING_STATE:
+        receive(host, "servers", 6, 2, ("i-1", earlier))
+        assert host.core.directory.servers["i-1"].state is expected
+        run_for(host, 0.1)
+
+
+# The same for a server that was removed before the restore.
+def test_removed_server_that_writes_after_a_restore_is_used_at_once(host):
+    receive_removal_and_restore(host)
+    assert not host.core.directory.servers
+    again = stored_objects.SERVER_ENTRY
+    receive(host, "servers", 6, 2, ("i-1", again), changes=True)
+    assert "i-1" in host.core.directory.servers
+
+
 # A server that started after the copy is missing from the restored list.
 def test_server_that_the_store_has_lost_stays_in_use_for_a_while(host):
     receive(host, "servers", 10, 1, ("i-1", stored_objects.SERVER_ENTRY))
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -74,6 +74,10 @@
         self._expiry_seconds = (
             MISSED_HEARTBEATS * settings.heartbeat + REMOVAL_MARGIN_SECONDS
         )
+        # Era of the last list of servers, and until when a list of that era
+        # may have entries from before it.
+        self._servers_era = 0
+        self._outdated_until = 0.0
         self.follows_source = False
         self.mirror = mirrors.Mirror(loop)
         store = stores.Store(
@@ -199,11 +203,14 @@
         for name in self._withheld.keys() - names:
             del self._withheld[name]
         era = self.servers_position.era
+        if era > self._servers_era:
+            self._servers_era = era
+            self._outdated_until = self.loop.now() + self._expiry_seconds
         for name in list(self.core.directory.servers):
             if name not in names:
                 self._remove_server(name, era)
         for each in listed:
-            self._update_server(each, is_logged=self.has_servers)
+            self._update_server(each, self.has_servers, is_listed=True)
         self.has_servers = True
         self.log.event(
             "servers listed",
@@ -214,16 +221,19 @@
         self._notify_if_known()
 
     def _server_changed(self, changed: objects.StoredObject) -> None:
-        self._update_server(changed, is_logged=True)
+        self._update_server(changed, is_logged=True, is_listed=False)
 
     def _update_server(
-        self, changed: objects.StoredObject, is_logged: bool
+        self, changed: objects.StoredObject, is_logged: bool, is_listed: bool
     ) -> None:
         """Apply the entry of a server.
 
         :param is_logged: whether a change of its state is logged. The first
             list is logged as a whole, because a line for each of hundreds of
             servers would delay the first packet.
+        :param is_listed: whether the entry is from a list. A change was
+            written in the present era, but a listed entry may be from before
+            a restore.
         """
         if changed.deleted:
             self._remove_server(changed.name, changed.era)
@@ -234,15 +244,24 @@
             self.log.event("server refused", reason=str(error))
             self._remove_server(changed.name, changed.era)
             return
-        if self._entry_order.is_older(server, changed.era):
-            self.log.event("server kept", server=server.name, era=changed.era)
-            self.core.directory.cancel_removal(server.name)
-            return
-        if self._entry_order.is_removed(server, changed.era):
-            self._withhold(changed)
-            return
+        if is_listed and self.loop.now() < self._outdated_until:
+            if self._keep_or_withhold(server, changed):
+                return
         self._use_server(server, changed, is_logged)
 
+    def _keep_or_withhold(
+        self, server: backends.Backend, listed: objects.StoredObject
+    ) -> bool:
+        """Return whether a listed entry is outdated and not to be used."""
+        if self._entry_order.is_older(server, listed.era):
+            self.log.event("server kept", server=server.name, era=listed.era)
+            self.core.directory.cancel_removal(server.name)
+            return True
+        if self._entry_order.is_removed(server, listed.era):
+            self._withhold(listed)
+            return True
+        return False
+
     def _withhold(self, entry: objects.StoredObject) -> None:
         """Do not use a restored entry until it would have expired.
 
