Restore the store in the soak test

No soak restored the store, so no host met an earlier revision. With the third argument `restores`, the soak writes up to 40 versions of the configuration, restores the store from a copy made before them, and writes again what was lost; restores, outages, signals and other faults overlap. Each run, also one without restores, now checks that the last configuration is in force on all hosts 4 s after the last fault.

The seeds of runs without restores inject the same faults as before.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -1,6 +1,7 @@
 """Runs entry hosts for flows as processes in a simulated environment."""
 
 import asyncio
+import json
 import os
 import pathlib
 import signal
@@ -71,6 +72,13 @@
         """Send a signal to the process."""
         self.process.send_signal(number)
 
+    def logged_events(self, name: str) -> list[dict]:
+        """Return the entries of the log with an event name."""
+        entries = [
+            json.loads(line) for line in self.log_path.read_text().splitlines()
+        ]
+        return [entry for entry in entries if entry["event"] == name]
+
     async def stop(self) -> int:
         """Stop the process with SIGTERM and return its exit code.
 
@@ -207,9 +215,12 @@
         await self.store.put("config", "main", spec)
 
     async def write_again(self) -> None:
-        """Write what a restore of the store may have lost."""
+        """Write what a restore of the store has lost."""
         for server in self.servers:
-            await self.store.put("servers", server.name, server.store_entry())
+            stored = self.store.kinds["servers"].get(server.name)
+            if stored is None or stored["spec"]["state"] != server.state:
+                entry = server.store_entry()
+                await self.store.put("servers", server.name, entry)
         await self.store.put("config", "main", self.configuration)
 
     def make_host(self, number: int) -> EntryHost:
--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -1,10 +1,11 @@
 """Soak test that injects random faults into a cluster of entry hosts.
 
-Usage: python -m examples.flow_soak [SEED] [SECONDS]
+Usage: python -m examples.flow_soak [SEED] [SECONDS] [restores]
 
 Signals, store outages, packet loss and silent or draining servers follow each
-other and overlap while callers send requests. Prints the seed and the
-outcomes as JSON. The exit code is 1 when a guarantee was violated.
+other and overlap while callers send requests. With the third argument the
+store is also restored from copies. Prints the seed and the outcomes as JSON.
+The exit code is 1 when a guarantee was violated.
 """
 
 import asyncio
@@ -28,9 +29,21 @@
 RECOVERY_SECONDS = 6.0
 DRAIN_SECONDS = 3.0
 MAX_FAULT_SECONDS = 3.0
+# Time after the last fault in which the last configuration has to be in force
+# on all hosts.
+STABLE_SECONDS = 4.0
+# Most versions of the configuration that are written before a restore, and the
+# time between two of them.
+MAX_VERSIONS = 40
+VERSION_INTERVAL_SECONDS = 0.02
+# Longest time between a restore of the store and what is written again.
+MAX_REWRITE_SECONDS = 2.0
 POLL_INTERVAL_SECONDS = 0.02
 FlowOutcome = flow_caller.FlowOutcome
 FAULTS = {}
+# Faults of runs with restores only: the seeds of other runs select from FAULTS
+# by sorted name.
+RESTORE_FAULTS = {}
 
 
 def fault(action):
@@ -39,6 +52,12 @@
     return action
 
 
+def restore_fault(action):
+    """Register a fault of runs with restores under its function's name."""
+    RESTORE_FAULTS[action.__name__] = action
+    return action
+
+
 @attrs.define(eq=False)
 class Soak:
     """One run of the soak test.
@@ -46,11 +65,13 @@
     :param fault_count: number of injected faults.
     :param request_count: number of sent requests.
     :param violations: descriptions of violated guarantees.
+    :param faults: the faults that may be injected, by name.
     :param injected: names of the injected faults in order.
     """
 
     cluster: flow_cluster.FlowCluster
     rng: random.Random
+    faults: dict
     fault_count: int = 0
     request_count: int = 0
     violations: list[str] = attrs.field(factory=list)
@@ -68,13 +89,15 @@
         )
         tasks = set()
         while loop.time() < end:
-            name = self.rng.choice(sorted(FAULTS))
+            name = self.rng.choice(sorted(self.faults))
             self.injected.append(name)
             self.fault_count += 1
-            tasks.add(asyncio.create_task(FAULTS[name](self)))
+            tasks.add(asyncio.create_task(self.faults[name](self)))
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
         await asyncio.gather(*tasks)
         outcomes_before = self.cluster.caller.outcomes.copy()
+        await asyncio.sleep(STABLE_SECONDS)
+        self._check_configuration()
         await requests
         self._check(outcomes_before)
         return self.report()
@@ -97,6 +120,17 @@
             await asyncio.sleep(1 / REQUESTS_PER_SECOND)
         await asyncio.gather(*tasks)
 
+    def _check_configuration(self) -> None:
+        """Check that the last configuration is in force on all hosts."""
+        for host in self.cluster.hosts:
+            adopted = host.logged_events("configuration adopted")
+            generation = adopted[-1]["offered"] if adopted else None
+            if generation != self.cluster.generation:
+                self.violations.append(
+                    f"host {host.number} is at generation {generation} of "
+                    f"{self.cluster.generation}"
+                )
+
     def _check(self, outcomes_before) -> None:
         outcomes = self.cluster.caller.outcomes
         for outcome in (FlowOutcome.WRONG, FlowOutcome.RESET_WHILE_OPEN):
@@ -128,6 +162,12 @@
             "broken": self.violations,
         }
 
+    async def write_configurations(self) -> None:
+        """Write several versions of the configuration in a row."""
+        for _ in range(self.rng.randrange(1, MAX_VERSIONS)):
+            await self.cluster.write_configuration()
+            await asyncio.sleep(VERSION_INTERVAL_SECONDS)
+
     def random_duration(self) -> float:
         """Return a random duration of a fault in seconds."""
         return self.rng.uniform(0.2, MAX_FAULT_SECONDS)
@@ -241,12 +281,36 @@
     await soak.cluster.write_configuration()
 
 
-async def soak(seed: int, seconds: float, folder: pathlib.Path) -> dict:
-    """Run the soak test with a seed and return the report."""
+@restore_fault
+async def restore_store(soak: Soak) -> None:
+    """Restore the store from a copy, and write again what it has lost.
+
+    Other restores and outages may overlap.
+    """
+    store = soak.cluster.store
+    earlier = store.make_copy()
+    await soak.write_configurations()
+    await asyncio.sleep(soak.random_duration())
+    store.injected_fault = object_store.InjectedFault.RESET
+    await store.restore(earlier)
+    await asyncio.sleep(soak.random_duration() / 2)
+    store.injected_fault = object_store.InjectedFault.NONE
+    await asyncio.sleep(soak.rng.uniform(0.0, MAX_REWRITE_SECONDS))
+    await soak.cluster.write_again()
+
+
+async def soak(
+    seed: int, seconds: float, folder: pathlib.Path, restores: bool = False
+) -> dict:
+    """Run the soak test with a seed and return the report.
+
+    :param restores: whether the store is also restored from copies.
+    """
+    faults = {**FAULTS, **RESTORE_FAULTS} if restores else FAULTS
     cluster = flow_cluster.FlowCluster(folder, HOSTS)
     try:
         await cluster.start()
-        run = Soak(cluster, random.Random(seed))
+        run = Soak(cluster, random.Random(seed), faults)
         return {"seed": seed, **await run.run(seconds)}
     finally:
         await cluster.stop()
@@ -256,8 +320,11 @@
     """Run the soak test; return 1 if a guarantee was violated, else 0."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else random.getrandbits(31)
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else DEFAULT_SECONDS
+    restores = sys.argv[3:] == ["restores"]
     with tempfile.TemporaryDirectory() as folder:
-        report = asyncio.run(soak(seed, seconds, pathlib.Path(folder)))
+        report = asyncio.run(
+            soak(seed, seconds, pathlib.Path(folder), restores)
+        )
     print(json.dumps(report))
     return 1 if report["broken"] else 0
 
--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -1,7 +1,6 @@
 """Entry hosts for flows as processes, with a simulated platform."""
 
 import asyncio
-import json
 import os
 import signal
 
@@ -62,12 +61,7 @@
 
 def logged_events(host, name):
     """Return the entries of a host's log with an event name."""
-    matching = []
-    for line in host.log_path.read_text().splitlines():
-        entry = json.loads(line)
-        if entry["event"] == name:
-            matching.append(entry)
-    return matching
+    return host.logged_events(name)
 
 
 def load_settings(cluster, folder, ip, **renamed):
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -57,6 +57,11 @@
             self.address, self._receive
         )
 
+    @property
+    def state(self) -> str:
+        """Return the state that the server reports in its store entry."""
+        return "draining" if self.draining else "ready"
+
     def store_entry(self) -> dict:
         """Return the server's next entry for the store."""
         self.entries_written += 1
@@ -66,7 +71,7 @@
             "zone": self.data_centre,
             "version": "v1",
             "max-concurrency": 4,
-            "state": "draining" if self.draining else "ready",
+            "state": self.state,
             "warmup-left-ms": 0,
             "sequence": self.entries_written,
             "born": 1,
