Write back a configuration that a restored platform has lost

In the request mode, callers' connections could break with the first change after a restore: `apply` and `rotate_keys` start from the stored document, so the token keys of the copy replaced those that seal the tokens of open connections, and a withdrawn key was in use again. If all entry hosts started again before that change, the older configuration was in force.

Cause: entry hosts keep the newer configuration, but the platform, which the operators read, stayed at the older one.

Now the first watcher of a data centre stores the configuration in force again when the platform shows an older one or none. The update is conditional on the version that was read; an operator who has printed from the older one is told to print again. The platform stand-in wakes watches when it is restored.

test_configuration_that_a_restore_has_lost_is_written_back and the restored object in test_processes.py fail without the change.

--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -6,10 +6,14 @@
 import attrs
 import pytest
 
+from vanilladrum.core import errors
 from vanilladrum.daemons import configuration_sync
 from vanilladrum.wire import platform as platforms
 
 
+PLACE = ("configuration", "fleet")
+
+
 @attrs.define
 class FakePlatform:
     """A platform that answers at once and counts its updates."""
@@ -24,6 +28,9 @@
         return self.objects.get((kind, name), platforms.StoredObject(0, {}))
 
     async def put(self, kind, name, value, version):
+        stored = await self.get(kind, name)
+        if stored.version != version:
+            raise errors.ConflictError("another version is stored")
         self.updates += 1
         self.objects[kind, name] = platforms.StoredObject(version + 1, value)
 
@@ -36,7 +43,12 @@
         "read_fleet",
         lambda value, source: types.SimpleNamespace(**value),
     )
-    core = types.SimpleNamespace(generation=0, ready=True, configured=[])
+    monkeypatch.setattr(
+        configuration_sync.document, "unstructure", lambda fleet: vars(fleet)
+    )
+    core = types.SimpleNamespace(
+        generation=0, ready=True, configured=[], fleet=None
+    )
 
     def configure(fleet):
         core.configured.append(fleet.generation)
@@ -57,9 +69,8 @@
 # A restored platform gave the version of a lost configuration to another one,
 # which no watching host adopted.
 async def test_configuration_at_a_version_given_out_again_is_adopted(sync):
-    place = ("configuration", "fleet")
     for generation in (3, 4):
-        sync.platform.objects[place] = platforms.StoredObject(
+        sync.platform.objects[PLACE] = platforms.StoredObject(
             5, {"generation": generation}
         )
         assert await sync._watch_once(5) == 5
@@ -81,3 +92,52 @@
     assert sync.platform.updates == 2
     status = sync.platform.objects["status", "bilbao"].value
     assert status == {"generation": 0, "hosts": {"1": 0}}
+
+
+def restore_configuration(sync, version, **content):
+    """Restore an older configuration than the one in force, generation 9."""
+    sync.core.fleet = types.SimpleNamespace(generation=9)
+    sync.platform.objects[PLACE] = platforms.StoredObject(version, content)
+
+
+# The next change started from the restored configuration, whose keys do not
+# open the tokens of the connections that are open.
+@pytest.mark.parametrize("content", [{"generation": 4}, {}])
+async def test_configuration_that_a_restore_has_lost_is_written_back(
+    sync, content
+):
+    restore_configuration(sync, 5 if content else 0, **content)
+    await sync._watch_once(6)
+    assert sync.platform.objects[PLACE].value == {"generation": 9}
+    assert sync.platform.updates == 1
+    await sync._watch_once(6)
+    assert sync.platform.updates == 1
+
+
+async def test_only_the_first_watcher_writes_a_configuration_back(sync):
+    restore_configuration(sync, 5, generation=4)
+    others = [
+        types.SimpleNamespace(
+            number=n, data_centre="bilbao", incarnation=b"%d" % n
+        )
+        for n in range(20, 40)
+    ]
+    own_entry = sync.core.membership.own_entry
+    sync.core.membership.alive = lambda: [own_entry, *others]
+    ranked = sync._ranked_local_hosts()
+    for member in ranked:
+        sync.core.membership.own_entry = member
+        sync.platform.updates = 0
+        restore_configuration(sync, 5, generation=4)
+        await sync._watch_once(6)
+        assert sync.platform.updates == (member is ranked[0])
+
+
+# An operator's change that is stored in the meantime is not replaced.
+async def test_configuration_is_written_back_only_over_the_older_one(sync):
+    restore_configuration(sync, 5, generation=4)
+    older = sync.platform.objects[PLACE]
+    restore_configuration(sync, 6, generation=12)
+    with pytest.raises(errors.ConflictError):
+        await sync._write_back(older)
+    assert sync.platform.objects[PLACE].value == {"generation": 12}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -273,6 +273,9 @@
     assert {generation_of(name) for name in cluster.hosts} == {
         newer_generation
     }
+    await wait_until(
+        lambda: cluster.get(5, path)["value"]["generation"] == newer_generation
+    )
     apply_plan(cluster, "(2,)")
     assert all(
         generation_of(name) > newer_generation for name in cluster.hosts
--- a/vanilladrum/daemons/configuration_sync.py
+++ b/vanilladrum/daemons/configuration_sync.py
@@ -100,8 +100,36 @@
             # again. An older configuration is recognized by its generation.
             fleet = document.read_fleet(stored.value, "configuration/fleet")
             await self.adopt(fleet)
+        await self._write_back(stored)
         return stored.version
 
+    async def _write_back(self, stored: platforms.StoredObject) -> None:
+        """Store the configuration in force again if the platform has lost it.
+
+        Otherwise the next change would start from an older one: its keys would
+        replace those that seal the tokens of open connections.
+
+        :raises PlatformError: when the platform does not store it, or another
+            change was stored in the meantime.
+        """
+        fleet = self.core.fleet
+        stored_generation = stored.value.get("generation", 0)
+        if fleet is None or stored_generation >= fleet.generation:
+            return
+        if not self._is_first_watcher():
+            return
+        await self.platform.put(
+            CONFIGURATION_KIND,
+            CONFIGURATION_NAME,
+            document.unstructure(fleet),
+            stored.version,
+        )
+        log.warning(
+            "configuration written back",
+            generation=fleet.generation,
+            stored=stored_generation,
+        )
+
     async def report_status(self) -> None:
         """Report the generations in this data centre until cancelled.
 
@@ -112,12 +140,9 @@
         check_at = 0.0
         while True:
             await asyncio.sleep(STATUS_INTERVAL_SECONDS)
-            ranked = self._ranked_local_hosts()
-            if not self.core.ready or ranked[:1] != [
-                self.core.membership.own_entry
-            ]:
+            if not self.core.ready or not self._is_first_watcher():
                 continue
-            status = self._status(ranked)
+            status = self._status(self._ranked_local_hosts())
             now = time.monotonic()
             if status == last_written and now < check_at:
                 continue
@@ -172,6 +197,11 @@
             in self._ranked_local_hosts()[:WATCHERS]
         )
 
+    def _is_first_watcher(self) -> bool:
+        """Return whether this host writes to the platform for the others."""
+        ranked = self._ranked_local_hosts()
+        return ranked[:1] == [self.core.membership.own_entry]
+
     def _backoff(self, failures: int) -> float:
         base, longest = BACKOFF_SECONDS
         delay = min(longest, base * 2 ** min(failures, MAX_BACKOFF_EXPONENT))
--- a/vanilladrum/standins/platform.py
+++ b/vanilladrum/standins/platform.py
@@ -158,10 +158,12 @@
 
         ``away`` begins or ends an outage. ``lose_confirmations`` is the
         number of further updates that lose their response. ``restore``
-        writes objects by path, without notifying watches. ``hosts`` changes
-        the list of entry hosts after the lag.
+        writes objects with their versions by path, as from a backup.
+        ``hosts`` changes the list of entry hosts after the lag.
         """
         command = await request.json()
+        for path, document in command.get("restore", {}).items():
+            self.store.objects[path] = VersionedObject(**document)
         async with self.store.changed:
             self.store.unavailable = command.get(
                 "away", self.store.unavailable
@@ -170,8 +172,6 @@
         self.store.confirmations_to_drop += command.get(
             "lose_confirmations", 0
         )
-        for path, document in command.get("restore", {}).items():
-            self.store.objects[path] = VersionedObject(**document)
         if "hosts" in command:
             loop = asyncio.get_running_loop()
             loop.call_later(
