Confirm a change by its operation, not by its number or version alone

In the request mode, operators could be told that a change is in force which no entry host ever adopts: a delayed update that a restored platform accepts has a lower generation than the one in force, and `apply` waited for "at least this generation". An update without a confirmation was also repeated over another change that had been given the same version after the restore.

Cause, found by the model of generations once its restore gives out versions again (it had counted on, which is why it never showed this): versions were taken as unique for good, and a higher generation as one that contains the change.

Now an update is repeated only if version and generation are those that it was based on, and a higher generation confirms a change only if the operations of that configuration name it; otherwise `apply` says that the change is lost. What remains: an update that is under way during a restore is conditional on the version alone, so it may replace a change with the same version; the operator of that one is told so.

The goal is now that all hosts have the stored configuration in force.

--- a/model/generations.py
+++ b/model/generations.py
@@ -1,10 +1,12 @@
-"""Model of configuration changes: two operators, a platform and entry hosts.
+"""Model of configuration changes: operators, a platform and entry hosts.
 
 The platform may be unavailable at any time. An update may take effect late,
 its confirmation may be lost, and the stored object may be restored from an
-old backup. Entry hosts receive configurations from the platform, possibly
-through a stale watch, and from each other, in any order. All decisions are
-made by the production functions of :mod:`vanilladrum.core.generation`.
+old backup; the platform then gives out its later versions again. Entry hosts
+receive configurations from the platform, possibly through a stale watch, and
+from each other, in any order, and store one again that the platform has lost.
+The decisions on adoption, numbering and reading back are made by the
+production functions of :mod:`vanilladrum.core.generation`.
 """
 
 from collections.abc import Callable
@@ -17,7 +19,7 @@
 from model import stepping
 from vanilladrum.core import generation as generations
 
-OPERATORS = ("a", "b")
+OPERATORS = ("a", "b", "c")
 HOST_COUNT = 2
 MAX_RESTORES = 1
 # Bounds the number of states.
@@ -36,19 +38,23 @@
     READING_BACK = "reading_back"
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    IN_FORCE = "in_force"
 
 
 @attrs.frozen
 class Change:
     """One operator's update.
 
-    :param base: stored version on which the update is conditional.
+    :param base: stored state that the operator has read; the update is
+        conditional on its version.
     :param generation: generation of the new configuration.
+    :param restores: number of restores before the update was sent.
     """
 
     phase: Phase = Phase.IDLE
-    base: int = 0
+    base: generations.StoredState = generations.StoredState(0, 0)
     generation: int = 0
+    restores: int = 0
 
 
 @attrs.frozen
@@ -64,6 +70,11 @@
     generation: int = 0
     operations: tuple[str, ...] = ()
 
+    @property
+    def state(self) -> generations.StoredState:
+        """Return what an operator compares when it reads the object back."""
+        return generations.StoredState(self.version, self.generation)
+
 
 @attrs.frozen
 class State:
@@ -81,11 +92,16 @@
     :param clock: wall clock of the operators, in ticks; up to
         ``MAX_CLOCK_TICK``, it is above every generation in force when an
         update is sent.
-    :param stale_acceptance: whether the platform accepted an update whose
-        generation wasn't above all generations in force.
+    :param stale_acceptance: whether the platform accepted an update that was
+        sent after the last restore and whose generation wasn't above all
+        generations in force.
+    :param repeated_over_unseen: whether an operator repeated an update over
+        another change than the one that it was based on.
+    :param false_confirmation: whether an operator was told that an update is
+        in force while an entry host had a configuration without it.
     """
 
-    changes: tuple[Change, ...] = (Change(),) * len(OPERATORS)
+    changes: tuple[Change, ...]
     stored: StoredObject = StoredObject()
     stored_history: frozenset = frozenset({StoredObject()})
     accepted_operations: frozenset = frozenset()
@@ -94,6 +110,8 @@
     restores: int = 0
     clock: int = 0
     stale_acceptance: bool = False
+    repeated_over_unseen: bool = False
+    false_confirmation: bool = False
 
 
 @attrs.frozen
@@ -107,8 +125,12 @@
         generation and the clock.
     :param resolve: decides from the stored object whether an unconfirmed
         update was accepted.
+    :param confirm: decides whether an accepted update is in force.
     :param conditional: whether the platform checks the version on which an
         update is conditional.
+    :param writes_back: whether an entry host stores the configuration in
+        force again if the platform has an older one.
+    :param operator_count: number of operators in the model.
     """
 
     name: str = "shipped"
@@ -116,7 +138,10 @@
     adopts: Callable = generations.is_newer
     following: Callable = generations.next_generation
     resolve: Callable = generations.resolve_update
+    confirm: Callable = generations.confirm
     conditional: bool = True
+    writes_back: bool = True
+    operator_count: int = 2
 
 
 @attrs.frozen
@@ -144,6 +169,11 @@
                         f"host {number} adopts",
                         _adopt(state, number, offered),
                     )
+            if (
+                self.rules.writes_back
+                and state.host_generations[number] > state.stored.generation
+            ):
+                yield f"host {number} writes back", _write_back(state, number)
         if state.restores < MAX_RESTORES:
             for backup in sorted(
                 state.stored_history, key=lambda each: each.version
@@ -151,12 +181,7 @@
                 yield (
                     "restore",
                     attrs.evolve(
-                        state,
-                        # The version increases although the content is older.
-                        stored=attrs.evolve(
-                            backup, version=state.stored.version + 1
-                        ),
-                        restores=state.restores + 1,
+                        state, stored=backup, restores=state.restores + 1
                     ),
                 )
 
@@ -169,8 +194,9 @@
             )
             sent = Change(
                 Phase.SENT,
-                state.stored.version,
+                state.stored.state,
                 self.rules.following(state.stored.generation, clock),
+                state.restores,
             )
             yield (
                 f"operator {number} sends update",
@@ -179,7 +205,10 @@
                 ),
             )
             return
-        if change.base == state.stored.version or not self.rules.conditional:
+        if (
+            change.base.version == state.stored.version
+            or not self.rules.conditional
+        ):
             if change.phase in (Phase.SENT, Phase.READING_BACK):
                 yield from self._accept(state, number, change)
             else:
@@ -194,6 +223,8 @@
             )
         if change.phase == Phase.READING_BACK:
             yield from self._read_back(state, number, change)
+        if change.phase == Phase.ACCEPTED:
+            yield from self._confirm(state, number, change)
 
     def _accept(
         self, state: State, number: int, change: Change
@@ -219,13 +250,39 @@
                 _store_change(state, number, change),
             )
 
+    def _confirm(
+        self, state: State, number: int, change: Change
+    ) -> Iterator[tuple[str, State]]:
+        operation = OPERATORS[number]
+        confirmation = self.rules.confirm(
+            operation,
+            change.generation,
+            state.host_generations,
+            state.stored.state,
+            state.stored.operations,
+        )
+        if confirmation != generations.Confirmation.IN_FORCE:
+            return
+        is_false = any(
+            operation not in _stored_with(state, generation).operations
+            for generation in state.host_generations
+        )
+        in_force = attrs.evolve(change, phase=Phase.IN_FORCE)
+        yield (
+            f"operator {number} is told that its update is in force",
+            attrs.evolve(
+                _replace_change(state, number, in_force),
+                false_confirmation=state.false_confirmation or is_false,
+            ),
+        )
+
     def _read_back(
         self, state: State, number: int, change: Change
     ) -> Iterator[tuple[str, State]]:
         resolution = self.rules.resolve(
             OPERATORS[number],
             change.base,
-            state.stored.version,
+            state.stored.state,
             state.stored.operations,
         )
         if resolution == generations.Resolution.ACCEPTED:
@@ -240,6 +297,16 @@
                 f"operator {number} reads back refusal",
                 _replace_change(state, number, resolved),
             )
+        if (
+            resolution == generations.Resolution.REPEAT
+            and change.base.version == state.stored.version
+        ):
+            is_unseen = change.base != state.stored.state
+            repeated = attrs.evolve(
+                state,
+                repeated_over_unseen=state.repeated_over_unseen or is_unseen,
+            )
+            yield from self._accept(repeated, number, change)
 
 
 def _adopt(state: State, number: int, offered: int) -> State:
@@ -254,6 +321,28 @@
     )
 
 
+def _stored_with(state: State, generation: int) -> StoredObject:
+    """Return the latest stored object with a generation."""
+    return max(
+        (
+            each
+            for each in state.stored_history
+            if each.generation == generation
+        ),
+        key=lambda each: each.version,
+    )
+
+
+def _write_back(state: State, number: int) -> State:
+    lost = _stored_with(state, state.host_generations[number])
+    stored = attrs.evolve(lost, version=state.stored.version + 1)
+    return attrs.evolve(
+        state,
+        stored=stored,
+        stored_history=state.stored_history | {stored},
+    )
+
+
 def _store_change(state: State, number: int, change: Change) -> State:
     operation = OPERATORS[number]
     stored = StoredObject(
@@ -268,7 +357,9 @@
         stored_history=state.stored_history | {stored},
         accepted_operations=state.accepted_operations | {operation},
         stale_acceptance=state.stale_acceptance
-        or change.generation <= in_force,
+        or (
+            change.generation <= in_force and change.restores == state.restores
+        ),
     )
 
 
@@ -289,8 +380,8 @@
     state = fields["state"]
     return all(
         name in state.accepted_operations
-        for name, change in zip(OPERATORS, state.changes, strict=True)
-        if change.phase == Phase.ACCEPTED
+        for name, change in zip(OPERATORS, state.changes, strict=False)
+        if change.phase in (Phase.ACCEPTED, Phase.IN_FORCE)
     )
 
 
@@ -302,7 +393,7 @@
     state = fields["state"]
     return bool(state.restores) or not any(
         name in state.accepted_operations
-        for name, change in zip(OPERATORS, state.changes, strict=True)
+        for name, change in zip(OPERATORS, state.changes, strict=False)
         if change.phase == Phase.REFUSED
     )
 
@@ -310,11 +401,22 @@
 def accepted_is_newer(fields: dict) -> bool:
     """An accepted generation is above all that are in force.
 
-    Otherwise the entry hosts would never adopt it.
+    Otherwise the entry hosts would never adopt it. An update that was sent
+    before a restore may be accepted after it, see ``confirmation_is_true``.
     """
     return not fields["state"].stale_acceptance
 
 
+def repeats_over_base_only(fields: dict) -> bool:
+    """No operator repeats an update over a change that it has not read."""
+    return not fields["state"].repeated_over_unseen
+
+
+def confirmation_is_true(fields: dict) -> bool:
+    """An update that is confirmed to be in force is in force on all hosts."""
+    return not fields["state"].false_confirmation
+
+
 INVARIANTS = {
     each.__name__: each
     for each in (
@@ -322,6 +424,8 @@
         success_is_true,
         refusal_is_true,
         accepted_is_newer,
+        repeats_over_base_only,
+        confirmation_is_true,
     )
 }
 
@@ -329,39 +433,65 @@
 def protocol(rules: Rules) -> minicheck.Protocol:
     """Return the model for a set of rules as a minicheck protocol.
 
-    Its goal is that all entry hosts have the same generation in force, which
-    isn't below the stored one.
+    Its goal is that all entry hosts have the stored generation in force.
     """
     model = GenerationModel(rules)
     return stepping.make_protocol(
         name=f"generations-{rules.name}",
-        initial=State(),
+        initial=State((Change(),) * rules.operator_count),
         steps=model.steps,
         invariants=INVARIANTS,
         goal=lambda fields: (
-            len(set(fields["state"].host_generations)) == 1
-            and fields["state"].host_generations[0]
-            >= fields["state"].stored.generation
+            set(fields["state"].host_generations)
+            == {fields["state"].stored.generation}
         ),
     )
 
 
 def _last_operation_only(
-    operation: str, base: int, version: int, operations: tuple[str, ...]
+    operation: str,
+    base: generations.StoredState,
+    stored: generations.StoredState,
+    operations: tuple[str, ...],
 ) -> generations.Resolution:
-    return generations.resolve_update(
-        operation, base, version, operations[-1:]
-    )
+    return generations.resolve_update(operation, base, stored, operations[-1:])
 
 
 def _success_on_any_newer(
-    operation: str, base: int, version: int, operations: tuple[str, ...]
+    operation: str,
+    base: generations.StoredState,
+    stored: generations.StoredState,
+    operations: tuple[str, ...],
 ) -> generations.Resolution:
-    if version > base:
+    if stored.version > base.version:
         return generations.Resolution.ACCEPTED
     return generations.Resolution.REPEAT
 
 
+def _versions_only(
+    operation: str,
+    base: generations.StoredState,
+    stored: generations.StoredState,
+    operations: tuple[str, ...],
+) -> generations.Resolution:
+    same_generation = attrs.evolve(stored, generation=base.generation)
+    return generations.resolve_update(
+        operation, base, same_generation, operations
+    )
+
+
+def _confirm_by_number(
+    operation: str,
+    generation: int,
+    reported: tuple[int, ...],
+    stored: generations.StoredState,
+    operations: tuple[str, ...],
+) -> generations.Confirmation:
+    if min(reported) < generation:
+        return generations.Confirmation.PENDING
+    return generations.Confirmation.IN_FORCE
+
+
 MUTANTS = (
     Rules("adopts_anything", "never_reverts", adopts=lambda a, b: a != b),
     Rules(
@@ -378,4 +508,16 @@
         "accepted_is_newer",
         following=lambda stored, now: stored + 1,
     ),
+    Rules(
+        "confirms_by_number",
+        "confirmation_is_true",
+        confirm=_confirm_by_number,
+    ),
+    Rules(
+        "versions_only",
+        "repeats_over_base_only",
+        resolve=_versions_only,
+        operator_count=3,
+    ),
+    Rules("never_writes_back", "liveness", writes_back=False),
 )
--- a/vanilladrum/operator/change.py
+++ b/vanilladrum/operator/change.py
@@ -73,6 +73,22 @@
         """Return the stored generation, or 0 if there is none."""
         return self.content.get("generation", 0)
 
+    @property
+    def state(self) -> generations.StoredState:
+        """Return what tells it from other stored configurations."""
+        return generations.StoredState(self.version, self.generation)
+
+
+@attrs.frozen
+class AcceptedChange:
+    """A change that the platform has accepted.
+
+    :param operation: id of the change.
+    """
+
+    generation: int
+    operation: str
+
 
 async def fetch_stored(
     client: platforms.PlatformClient,
@@ -177,11 +193,10 @@
 
 async def apply(
     client: platforms.PlatformClient, printed_content: dict, path: str
-) -> int:
+) -> AcceptedChange:
     """Store a printed configuration as a new generation.
 
     :param path: path of the document, for error messages.
-    :returns: the generation.
     :raises ConfigurationError: if the configuration is not valid.
     :raises StaleBaseError: if another change was accepted after the
         configuration was printed.
@@ -194,8 +209,7 @@
         raise _stale_base_error(printed_content, stored)
     content = complete(printed_content, stored)
     document.read_fleet(content, path)
-    await _store(client, content, stored)
-    return content["generation"]
+    return await _store(client, content, stored)
 
 
 def _stale_base_error(
@@ -212,7 +226,7 @@
     client: platforms.PlatformClient,
     content: dict,
     stored: StoredConfiguration,
-) -> None:
+) -> AcceptedChange:
     try:
         await client.put(
             CONFIGURATION_KIND, CONFIGURATION_NAME, content, stored.version
@@ -223,6 +237,7 @@
         await _confirm_by_read_back(client, content, stored)
     except errors.PlatformError:
         await _confirm_by_read_back(client, content, stored)
+    return AcceptedChange(content["generation"], content["operations"][-1])
 
 
 async def _confirm_by_read_back(
@@ -245,8 +260,8 @@
             continue
         resolution = generations.resolve_update(
             content["operations"][-1],
-            stored.version,
-            latest.version,
+            stored.state,
+            latest.state,
             tuple(latest.content.get("operations", ())),
         )
         if resolution == generations.Resolution.ACCEPTED:
@@ -270,14 +285,13 @@
     )
 
 
-async def rotate_keys(client: platforms.PlatformClient) -> int:
+async def rotate_keys(client: platforms.PlatformClient) -> AcceptedChange:
     """Start or complete a rotation of the token keys.
 
     The first call adds a key, so that all entry hosts know it before tokens
     are sealed with it. The next call makes it the active key. Beyond
     :data:`MAX_KEYS` keys, the oldest one is removed.
 
-    :returns: the generation of the change.
     :raises ConfigurationError: if no configuration is stored.
     :raises StaleBaseError: if another change was accepted at the same time.
     :raises OutcomeUnknownError: if it cannot be determined whether the change
@@ -298,25 +312,26 @@
         content["key"] = keys[-MAX_KEYS:]
     _assign_generation(content, stored)
     document.read_fleet(content, "rotated keys")
-    await _store(client, content, stored)
-    return content["generation"]
+    return await _store(client, content, stored)
 
 
 async def wait_in_force(
     client: platforms.PlatformClient,
     data_centres: list[str],
-    generation: int,
+    accepted: AcceptedChange,
     timeout: float,
     on_progress: Callable[[str, int], None],
 ) -> None:
-    """Wait until each data centre reports that a generation is in force.
+    """Wait until each data centre reports that a change is in force.
 
     :param timeout: seconds to wait.
     :param on_progress: called with data centre and generation on each change.
     :raises NotInForceError: if the wait times out; the message lists the data
-        centres that are still on an older generation.
+        centres that are still on an older generation. Also if the platform
+        was restored and the change is lost.
     :raises PlatformError: if the platform does not answer; the wait ends.
     """
+    generation = accepted.generation
     reported: dict[str, int] = {}
     deadline = time.monotonic() + timeout
     while time.monotonic() < deadline:
@@ -326,7 +341,7 @@
             if reported.get(name) != in_force:
                 reported[name] = in_force
                 on_progress(name, in_force)
-        if all(reported[name] >= generation for name in data_centres):
+        if await _is_in_force(client, accepted, tuple(reported.values())):
             return
         await asyncio.sleep(POLL_INTERVAL_SECONDS)
     lagging = [
@@ -334,10 +349,37 @@
     ]
     raise NotInForceError(
         f"generation {generation} is accepted but not yet reported in "
-        f"force by {lagging}; check their entry hosts"
+        f"force by {lagging or data_centres}; check their entry hosts"
     )
 
 
+async def _is_in_force(
+    client: platforms.PlatformClient,
+    accepted: AcceptedChange,
+    reported: tuple[int, ...],
+) -> bool:
+    """Return whether a change is in force in all data centres.
+
+    :raises NotInForceError: if the change is lost.
+    """
+    stored = await fetch_stored(client)
+    confirmation = generations.confirm(
+        accepted.operation,
+        accepted.generation,
+        reported,
+        stored.state,
+        tuple(stored.content.get("operations", ())),
+    )
+    if confirmation == generations.Confirmation.LOST:
+        raise NotInForceError(
+            f"generation {accepted.generation} was accepted, but generation "
+            f"{stored.generation} is in force without it, because the "
+            "platform was restored from a backup; print the plan again and "
+            "apply it"
+        )
+    return confirmation == generations.Confirmation.IN_FORCE
+
+
 def _assign_generation(content: dict, stored: StoredConfiguration) -> None:
     """Set the generation and the operation ID of a change."""
     content["generation"] = generations.next_generation(
--- a/vanilladrum/operator/commands.py
+++ b/vanilladrum/operator/commands.py
@@ -56,24 +56,24 @@
     printed = change.read_printed(path)
     async with open_client(url) as client:
         try:
-            generation = await change.apply(client, printed, path)
+            accepted = await change.apply(client, printed, path)
         except change.StaleBaseError as error:
             print(error.difference)
             raise
-        print(f"generation {generation} accepted")
+        print(f"generation {accepted.generation} accepted")
         await _wait_in_force(
-            client, printed["data_centres"], generation, timeout
+            client, printed["data_centres"], accepted, timeout
         )
 
 
 async def rotate_keys(url: str, timeout: float) -> None:
     """Add or activate a token key and wait until the change is in force."""
     async with open_client(url) as client:
-        generation = await change.rotate_keys(client)
-        print(f"generation {generation} accepted")
+        accepted = await change.rotate_keys(client)
+        print(f"generation {accepted.generation} accepted")
         stored = await change.fetch_stored(client)
         data_centres = stored.content["data_centres"]
-        await _wait_in_force(client, data_centres, generation, timeout)
+        await _wait_in_force(client, data_centres, accepted, timeout)
 
 
 async def status(url: str) -> None:
@@ -96,16 +96,16 @@
 async def _wait_in_force(
     client: platforms.PlatformClient,
     data_centres: list[str],
-    generation: int,
+    accepted: change.AcceptedChange,
     timeout: float,
 ) -> None:
     await change.wait_in_force(
         client,
         data_centres,
-        generation,
+        accepted,
         timeout,
         lambda name, in_force: print(
             f"{name}: generation {in_force} in force"
         ),
     )
-    print(f"generation {generation} in force everywhere")
+    print(f"generation {accepted.generation} in force everywhere")
