Keep the results of operators' updates out of the entry host's imports

Entry hosts on the users' platform did not start: put attrs classes into core.generation, which the flow mode imports, and the role installs no attrs there.

The types and functions that only operators and the model use move to core.update. Known entries of servers use slots.

--- a/model/generations.py
+++ b/model/generations.py
@@ -6,7 +6,8 @@
 receive configurations from the platform, possibly through a stale watch, and
 from each other, in any order, and store one again that the platform has lost.
 The decisions on adoption, numbering and reading back are made by the
-production functions of :mod:`vanilladrum.core.generation`.
+production functions of :mod:`vanilladrum.core.generation` and
+:mod:`vanilladrum.core.update`.
 """
 
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 
 from model import stepping
 from vanilladrum.core import generation as generations
+from vanilladrum.core import update as updates
 
 OPERATORS = ("a", "b", "c")
 HOST_COUNT = 2
@@ -52,7 +54,7 @@
     """
 
     phase: Phase = Phase.IDLE
-    base: generations.StoredState = generations.StoredState(0, 0)
+    base: updates.StoredState = updates.StoredState(0, 0)
     generation: int = 0
     restores: int = 0
 
@@ -71,9 +73,9 @@
     operations: tuple[str, ...] = ()
 
     @property
-    def state(self) -> generations.StoredState:
+    def state(self) -> updates.StoredState:
         """Return what an operator compares when it reads the object back."""
-        return generations.StoredState(self.version, self.generation)
+        return updates.StoredState(self.version, self.generation)
 
 
 @attrs.frozen
@@ -137,8 +139,8 @@
     breaks: str = ""
     adopts: Callable = generations.is_newer
     following: Callable = generations.next_generation
-    resolve: Callable = generations.resolve_update
-    confirm: Callable = generations.confirm
+    resolve: Callable = updates.resolve_update
+    confirm: Callable = updates.confirm
     conditional: bool = True
     writes_back: bool = True
     operator_count: int = 2
@@ -261,7 +263,7 @@
             state.stored.state,
             state.stored.operations,
         )
-        if confirmation != generations.Confirmation.IN_FORCE:
+        if confirmation != updates.Confirmation.IN_FORCE:
             return
         is_false = any(
             operation not in _stored_with(state, generation).operations
@@ -285,20 +287,20 @@
             state.stored.state,
             state.stored.operations,
         )
-        if resolution == generations.Resolution.ACCEPTED:
+        if resolution == updates.Resolution.ACCEPTED:
             resolved = attrs.evolve(change, phase=Phase.ACCEPTED)
             yield (
                 f"operator {number} reads back acceptance",
                 _replace_change(state, number, resolved),
             )
-        if resolution == generations.Resolution.REFUSED:
+        if resolution == updates.Resolution.REFUSED:
             resolved = attrs.evolve(change, phase=Phase.REFUSED)
             yield (
                 f"operator {number} reads back refusal",
                 _replace_change(state, number, resolved),
             )
         if (
-            resolution == generations.Resolution.REPEAT
+            resolution == updates.Resolution.REPEAT
             and change.base.version == state.stored.version
         ):
             is_unseen = change.base != state.stored.state
@@ -450,46 +452,44 @@
 
 def _last_operation_only(
     operation: str,
-    base: generations.StoredState,
-    stored: generations.StoredState,
+    base: updates.StoredState,
+    stored: updates.StoredState,
     operations: tuple[str, ...],
-) -> generations.Resolution:
-    return generations.resolve_update(operation, base, stored, operations[-1:])
+) -> updates.Resolution:
+    return updates.resolve_update(operation, base, stored, operations[-1:])
 
 
 def _success_on_any_newer(
     operation: str,
-    base: generations.StoredState,
-    stored: generations.StoredState,
+    base: updates.StoredState,
+    stored: updates.StoredState,
     operations: tuple[str, ...],
-) -> generations.Resolution:
+) -> updates.Resolution:
     if stored.version > base.version:
-        return generations.Resolution.ACCEPTED
-    return generations.Resolution.REPEAT
+        return updates.Resolution.ACCEPTED
+    return updates.Resolution.REPEAT
 
 
 def _versions_only(
     operation: str,
-    base: generations.StoredState,
-    stored: generations.StoredState,
+    base: updates.StoredState,
+    stored: updates.StoredState,
     operations: tuple[str, ...],
-) -> generations.Resolution:
+) -> updates.Resolution:
     same_generation = attrs.evolve(stored, generation=base.generation)
-    return generations.resolve_update(
-        operation, base, same_generation, operations
-    )
+    return updates.resolve_update(operation, base, same_generation, operations)
 
 
 def _confirm_by_number(
     operation: str,
     generation: int,
     reported: tuple[int, ...],
-    stored: generations.StoredState,
+    stored: updates.StoredState,
     operations: tuple[str, ...],
-) -> generations.Confirmation:
+) -> updates.Confirmation:
     if min(reported) < generation:
-        return generations.Confirmation.PENDING
-    return generations.Confirmation.IN_FORCE
+        return updates.Confirmation.PENDING
+    return updates.Confirmation.IN_FORCE
 
 
 MUTANTS = (
--- a/vanilladrum/core/entry_order.py
+++ b/vanilladrum/core/entry_order.py
@@ -18,6 +18,8 @@
     :param written: start time and sequence number of the entry.
     """
 
+    __slots__ = ("era", "written")
+
     def __init__(self, era: int, written: tuple[int, int]) -> None:
         self.era = era
         self.written = written
--- a/vanilladrum/operator/change.py
+++ b/vanilladrum/operator/change.py
@@ -16,6 +16,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import fleet as fleets
 from vanilladrum.core import generation as generations
+from vanilladrum.core import update as updates
 from vanilladrum import plan as plans
 from vanilladrum.wire import platform as platforms
 
@@ -74,9 +75,9 @@
         return self.content.get("generation", 0)
 
     @property
-    def state(self) -> generations.StoredState:
+    def state(self) -> updates.StoredState:
         """Return what tells it from other stored configurations."""
-        return generations.StoredState(self.version, self.generation)
+        return updates.StoredState(self.version, self.generation)
 
 
 @attrs.frozen
@@ -258,15 +259,15 @@
         except errors.PlatformError:
             await asyncio.sleep(READ_BACK_INTERVAL_SECONDS)
             continue
-        resolution = generations.resolve_update(
+        resolution = updates.resolve_update(
             content["operations"][-1],
             stored.state,
             latest.state,
             tuple(latest.content.get("operations", ())),
         )
-        if resolution == generations.Resolution.ACCEPTED:
+        if resolution == updates.Resolution.ACCEPTED:
             return
-        if resolution == generations.Resolution.REFUSED:
+        if resolution == updates.Resolution.REFUSED:
             raise _stale_base_error(
                 {**content, "base": stored.generation}, latest
             )
@@ -363,21 +364,21 @@
     :raises NotInForceError: if the change is lost.
     """
     stored = await fetch_stored(client)
-    confirmation = generations.confirm(
+    confirmation = updates.confirm(
         accepted.operation,
         accepted.generation,
         reported,
         stored.state,
         tuple(stored.content.get("operations", ())),
     )
-    if confirmation == generations.Confirmation.LOST:
+    if confirmation == updates.Confirmation.LOST:
         raise NotInForceError(
             f"generation {accepted.generation} was accepted, but generation "
             f"{stored.generation} is in force without it, because the "
             "platform was restored from a backup; print the plan again and "
             "apply it"
         )
-    return confirmation == generations.Confirmation.IN_FORCE
+    return confirmation == updates.Confirmation.IN_FORCE
 
 
 def _assign_generation(content: dict, stored: StoredConfiguration) -> None:
