Move the entries of servers to a module of their own

StateSync applied configurations and servers, and since the restores it also decided which restored entries are used. The second job is ServerSync now, so that what the flags is_logged and is_listed told apart are two functions: a list may have entries from before a restore, a change may not.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -262,7 +262,7 @@
 
 # A server that left was in use again when the store was restored.
 def test_server_that_left_is_withheld_until_its_entry_would_expire(host):
-    host._expiry_seconds = 0.05
+    host.server_sync.expiry_seconds = 0.05
     receive_removal_and_restore(host)
     assert not host.core.directory.servers
     receive(host, "servers", 6, 2, ("i-1", stored_objects.SERVER_ENTRY))
@@ -274,7 +274,7 @@
 # The second restore begins the lifetime of the entry anew; the end of the
 # first one made the server be used.
 def test_server_that_left_is_withheld_anew_after_a_second_restore(host):
-    host._expiry_seconds = 0.1
+    host.server_sync.expiry_seconds = 0.1
     receive_removal_and_restore(host)
     run_for(host, 0.06)
     receive(host, "servers", 6, 2, ("i-1", None), changes=True)
@@ -286,7 +286,7 @@
 
 
 def test_entry_is_withheld_as_long_as_the_settings_say(host):
-    assert host._expiry_seconds == pytest.approx(6.4)
+    assert host.server_sync.expiry_seconds == pytest.approx(6.4)
 
 
 def test_server_that_starts_again_under_its_id_is_used_at_once(host):
@@ -312,7 +312,7 @@
 
 # A host that missed the change reads the same entry from a list.
 def test_list_is_used_as_it_is_once_older_entries_have_expired(host):
-    host._expiry_seconds = 0.05
+    host.server_sync.expiry_seconds = 0.05
     entry = stored_objects.SERVER_ENTRY
     receive(host, "servers", 10, 1, ("i-1", {**entry, "sequence": 8}))
     earlier = {**LEAVING, "born": entry["born"] - 1, "sequence": 1}
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Callable
 
-from vanilladrum.core import backend as backends
-from vanilladrum.core import entry_order
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
 from vanilladrum.core import position as positions
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import list_watch
+from vanilladrum.daemons import server_sync as server_syncs
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import store_monitor
 from vanilladrum.platform import mirror as mirrors
@@ -24,20 +23,6 @@
 # Longest interval between two ticks while other hosts or this one wait for
 # an answer, in seconds; a fraction of the time that they wait beyond a watch.
 BUSY_TICK_SECONDS = 0.1
-# The store removes an entry whose server has missed this many heartbeats.
-MISSED_HEARTBEATS = 3
-# Time in seconds for the removal to reach this host.
-REMOVAL_MARGIN_SECONDS = 0.4
-
-
-class _WithheldEntry:
-    """The entry of a server that had gone before the store was restored.
-
-    :param entry: the entry as it was received last.
-    """
-
-    def __init__(self, entry: objects.StoredObject) -> None:
-        self.entry = entry
 
 
 class StateSync:
@@ -48,7 +33,7 @@
 
     :param on_known: called after each configuration and list of servers, if
         both the configuration and the servers are known.
-    :param has_servers: whether the servers were listed at least once.
+    :param server_sync: applies the lists and changes of servers.
     :param follows_source: whether a source is followed, that is, whether the
         initial wait for digests of other hosts is over.
     :raises SettingsError: when the peer endpoint cannot be bound.
@@ -66,18 +51,11 @@
         self.core = core
         self.log = log
         self.on_known = on_known
-        self.has_servers = False
+        self.server_sync = server_syncs.ServerSync(
+            loop, core, log, settings.heartbeat
+        )
         # The object that contained the configuration in force.
         self._configuration: objects.StoredObject | None = None
-        self._entry_order = entry_order.EntryOrder()
-        self._withheld: dict[str, _WithheldEntry] = {}
-        self._expiry_seconds = (
-            MISSED_HEARTBEATS * settings.heartbeat + REMOVAL_MARGIN_SECONDS
-        )
-        # Era of the last list of servers, and until when a list of that era
-        # may have entries from before it.
-        self._servers_era = 0
-        self._outdated_until = 0.0
         self.follows_source = False
         self.mirror = mirrors.Mirror(loop)
         store = stores.Store(
@@ -95,7 +73,7 @@
             self.source_selector,
             objects.SERVER_KIND,
             self._servers_listed,
-            self._server_changed,
+            self.server_sync.apply_change,
             batches_changes=True,
         )
         list_watch.ListWatcher(
@@ -111,7 +89,10 @@
     @property
     def is_complete(self) -> bool:
         """Return whether the configuration and the servers are known."""
-        return bool(self.core.configuration.generation) and self.has_servers
+        return (
+            bool(self.core.configuration.generation)
+            and self.server_sync.has_servers
+        )
 
     @property
     def servers_position(self) -> positions.StorePosition:
@@ -199,120 +180,12 @@
     def _servers_listed(
         self, listed: tuple[objects.StoredObject, ...]
     ) -> None:
-        names = {each.name for each in listed}
-        for name in self._withheld.keys() - names:
-            del self._withheld[name]
-        era = self.servers_position.era
-        if era > self._servers_era:
-            self._servers_era = era
-            self._outdated_until = self.loop.now() + self._expiry_seconds
-        for name in list(self.core.directory.servers):
-            if name not in names:
-                self._remove_server(name, era)
-        for each in listed:
-            self._update_server(each, self.has_servers, is_listed=True)
-        self.has_servers = True
+        position = self.servers_position
+        self.server_sync.apply_listing(listed, position.era)
         self.log.event(
             "servers listed",
             servers=len(self.core.directory.servers),
-            era=era,
-            revision=self.servers_position.revision,
+            era=position.era,
+            revision=position.revision,
         )
         self._notify_if_known()
-
-    def _server_changed(self, changed: objects.StoredObject) -> None:
-        self._update_server(changed, is_logged=True, is_listed=False)
-
-    def _update_server(
-        self, changed: objects.StoredObject, is_logged: bool, is_listed: bool
-    ) -> None:
-        """Apply the entry of a server.
-
-        :param is_logged: whether a change of its state is logged. The first
-            list is logged as a whole, because a line for each of hundreds of
-            servers would delay the first packet.
-        :param is_listed: whether the entry is from a list. A change was
-            written in the present era, but a listed entry may be from before
-            a restore.
-        """
-        if changed.deleted:
-            self._remove_server(changed.name, changed.era)
-            return
-        try:
-            server = objects.parse_server(changed)
-        except errors.PlatformError as error:
-            self.log.event("server refused", reason=str(error))
-            self._remove_server(changed.name, changed.era)
-            return
-        if is_listed and self.loop.now() < self._outdated_until:
-            if self._keep_or_withhold(server, changed):
-                return
-        self._use_server(server, changed, is_logged)
-
-    def _keep_or_withhold(
-        self, server: backends.Backend, listed: objects.StoredObject
-    ) -> bool:
-        """Return whether a listed entry is outdated and not to be used."""
-        if self._entry_order.is_older(server, listed.era):
-            self.log.event("server kept", server=server.name, era=listed.era)
-            self.core.directory.cancel_removal(server.name)
-            return True
-        if self._entry_order.is_removed(server, listed.era):
-            self._withhold(listed)
-            return True
-        return False
-
-    def _withhold(self, entry: objects.StoredObject) -> None:
-        """Do not use a restored entry until it would have expired.
-
-        A server that is alive writes a newer one. The store removes the entry
-        of a server that has gone; if it is still there after that time, its
-        server is alive too.
-        """
-        known = self._withheld.get(entry.name)
-        if known is not None and known.entry.era == entry.era:
-            known.entry = entry
-            return
-        withheld = _WithheldEntry(entry)
-        self._withheld[entry.name] = withheld
-        self.log.event("server withheld", server=entry.name, era=entry.era)
-        self.loop.after(
-            self._expiry_seconds, lambda: self._use_withheld(withheld)
-        )
-
-    def _use_withheld(self, withheld: _WithheldEntry) -> None:
-        """Use an entry that was neither removed nor lost by a restore."""
-        entry = withheld.entry
-        if self._withheld.get(entry.name) is withheld:
-            self._use_server(objects.parse_server(entry), entry, True)
-
-    def _use_server(
-        self,
-        server: backends.Backend,
-        changed: objects.StoredObject,
-        is_logged: bool,
-    ) -> None:
-        self._withheld.pop(server.name, None)
-        self._entry_order.record(server, changed.era)
-        previous = self.core.directory.servers.get(server.name)
-        self.core.directory.update(server)
-        if not is_logged:
-            return
-        if previous is None or previous.state is not server.state:
-            self.log.event(
-                "server",
-                server=server.name,
-                state=server.state.value,
-                service=server.service,
-                revision=changed.revision,
-            )
-
-    def _remove_server(self, name: str, era: int) -> None:
-        self._withheld.pop(name, None)
-        self._entry_order.record_removal(name, era)
-        self.core.handle_removed_entry(name, self.loop.now())
-        self.log.event(
-            "server entry gone",
-            server=name,
-            unsettled=self.core.entries_may_return,
-        )
