Let the soak run with any number of entry hosts

A number among the arguments is the number of entry hosts now; the seeds of four hosts inject the same faults as before.

--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -1,10 +1,11 @@
 """Soak test that injects random faults into a cluster of entry hosts.
 
-Usage: python -m examples.flow_soak [SEED] [SECONDS] [restores]
+Usage: python -m examples.flow_soak [SEED] [SECONDS] [restores] [HOSTS]
 
 Signals, store outages, packet loss and silent or draining servers follow each
-other and overlap while callers send requests. With the third argument the
-store is also restored from copies. Prints the seed and the outcomes as JSON.
+other and overlap while callers send requests. With the argument ``restores``
+the store is also restored from copies. Prints the seed and the outcomes as
+JSON.
 The exit code is 1 when a guarantee was violated.
 """
 
@@ -23,7 +24,7 @@
 from vanilladrum.standins import object_store
 
 DEFAULT_SECONDS = 20.0
-HOSTS = 4
+DEFAULT_HOSTS = 4
 REQUESTS_PER_SECOND = 60
 # Time for which requests continue once no more faults begin.
 RECOVERY_SECONDS = 6.0
@@ -235,7 +236,7 @@
     """
     store = soak.cluster.store
     store.injected_fault = soak.rng.choice(list(object_store.InjectedFault))
-    some = soak.rng.sample(soak.cluster.hosts, HOSTS // 2)
+    some = soak.rng.sample(soak.cluster.hosts, soak.cluster.host_count // 2)
     addresses = frozenset(host.packet_address.host for host in some)
     store.rejected_hosts = soak.rng.choice([frozenset(), addresses])
     await asyncio.sleep(soak.random_duration())
@@ -300,14 +301,20 @@
 
 
 async def soak(
-    seed: int, seconds: float, folder: pathlib.Path, restores: bool = False
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    restores: bool = False,
+    host_count: int = DEFAULT_HOSTS,
 ) -> dict:
     """Run the soak test with a seed and return the report.
 
     :param restores: whether the store is also restored from copies.
+    :param host_count: number of entry hosts; above 12 they exchange digests
+        and follow each other as in a large fleet.
     """
     faults = {**FAULTS, **RESTORE_FAULTS} if restores else FAULTS
-    cluster = flow_cluster.FlowCluster(folder, HOSTS)
+    cluster = flow_cluster.FlowCluster(folder, host_count)
     try:
         await cluster.start()
         run = Soak(cluster, random.Random(seed), faults)
@@ -320,10 +327,12 @@
     """Run the soak test; return 1 if a guarantee was violated, else 0."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else random.getrandbits(31)
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else DEFAULT_SECONDS
-    restores = sys.argv[3:] == ["restores"]
+    restores = "restores" in sys.argv[3:]
+    counts = [int(each) for each in sys.argv[3:] if each.isdecimal()]
+    host_count = counts[0] if counts else DEFAULT_HOSTS
     with tempfile.TemporaryDirectory() as folder:
         report = asyncio.run(
-            soak(seed, seconds, pathlib.Path(folder), restores)
+            soak(seed, seconds, pathlib.Path(folder), restores, host_count)
         )
     print(json.dumps(report))
     return 1 if report["broken"] else 0
