Share the fixture of a running cluster between two test files

Both test files of processes had the same fixture, which starts and stops a cluster of entry hosts for flows. It is in conftest.py now; tests and checks are unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,13 @@
-"""Shared fixtures: a fake clock and entry host cores joined in memory."""
+"""Shared fixtures: a fake clock, hosts joined in memory, and a cluster."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+import pathlib
 import random
 
 import attrs
 import pytest
 
+from examples import flow_cluster
 from vanilladrum.core import actions
 from vanilladrum.core import address as addresses
 from vanilladrum.core import entryhost
@@ -282,3 +284,16 @@
     for number in (1, 2, 3):
         connected.add(number)
     return connected
+
+
+@pytest.fixture
+async def cluster(
+    tmp_path: pathlib.Path,
+) -> AsyncIterator[flow_cluster.FlowCluster]:
+    """Yield a running cluster of entry hosts for flows, as processes."""
+    running = flow_cluster.FlowCluster(tmp_path)
+    try:
+        await running.start()
+        yield running
+    finally:
+        await running.stop()
--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from examples import flow_cluster
 from vanilladrum.daemons import settings
 from vanilladrum.standins import flow_caller
 from vanilladrum.standins import flow_load
@@ -15,16 +14,6 @@
 FlowOutcome = flow_caller.FlowOutcome
 
 
-@pytest.fixture
-async def cluster(tmp_path):
-    running = flow_cluster.FlowCluster(tmp_path)
-    try:
-        await running.start()
-        yield running
-    finally:
-        await running.stop()
-
-
 async def send_requests(cluster, count, pause=0.002):
     """Send requests to both services; return how many were served.
 
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -5,9 +5,6 @@
 
 import asyncio
 
-import pytest
-
-from examples import flow_cluster
 from tests import test_flow_processes
 from vanilladrum.standins import object_store
 
@@ -15,16 +12,6 @@
 LIMIT_SECONDS = 2.0
 
 
-@pytest.fixture
-async def cluster(tmp_path):
-    running = flow_cluster.FlowCluster(tmp_path)
-    try:
-        await running.start()
-        yield running
-    finally:
-        await running.stop()
-
-
 async def write_configurations(cluster, count):
     for _ in range(count):
         await cluster.write_configuration()
