Hear in time of servers that write again in a large fleet

After an outage or a restore of the store, callers at the second watcher of a large fleet could find few servers, or none, for up to a second: servers that the store has lost write again within 2 s and stay in use for 2.5 s, but this host waits 3 s between two watches of servers (the first watcher 1 s), so it removed most of those that had written already.

Cause: the delay was chosen for the price of calls in calm times; what is held back meanwhile has a deadline of its own after an outage. While entries may return, the delay is that of a small fleet now, 0.5 s, which is the difference of the two times.

Small fleets are not affected.

--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -27,6 +27,8 @@
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
 
+# Time in which servers write again what the store has lost.
+REWRITE_SECONDS = 2.0
 LEAVING_STATE = serverstate.ServerState.LEAVING
 LEAVING = {**stored_objects.SERVER_ENTRY, "state": "draining", "sequence": 9}
 
@@ -346,6 +348,29 @@
     assert not host.core.directory.pending_removal
 
 
+# The second watcher of a large fleet waited 3 s between two watches, longer
+# than servers that have to write again stay in use.
+@pytest.mark.parametrize("restored", [False, True])
+def test_watcher_of_a_large_fleet_hears_in_time_of_servers(restored):
+    selector, _ = test_list_watch.make_source_selector(1, False)
+    selector.followed_host = None
+    now = selector.loop.now()
+    for number in range(2, 16):
+        selector.neighbours.receive(
+            test_watchers.host_at(number), test_watchers.make_digest(2), now
+        )
+    usual = source_selectors.SECOND_WATCHER_BATCH_DELAY
+    assert selector.batch_delay() == usual
+    if restored:
+        selector.store_monitor.record_era(1)
+        selector.store_monitor.record_era(2)
+    else:
+        selector.store_monitor.record_failure(errors.PlatformError("lost"))
+        selector.store_monitor.record_success()
+    limit = store_monitors.REREGISTRATION_SECONDS - REWRITE_SECONDS
+    assert selector.batch_delay() <= limit
+
+
 @pytest.mark.parametrize(
     "era,sequence,is_older", [(1, 4, False), (2, 4, True), (2, 5, False)]
 )
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -189,11 +189,12 @@
         """Return the delay in seconds before the next watch at the store.
 
         Changes accumulate in the meantime. It is 0 while this host follows
-        another one.
+        another one. It is short while servers write their entries again,
+        because those that this host has not heard of by then are removed.
         """
         if self.followed_host is not None:
             return 0.0
-        if not self.neighbours.is_large_fleet:
+        if not self.neighbours.is_large_fleet or self.entries_may_return:
             return SMALL_FLEET_BATCH_DELAY
         now = self.loop.now()
         has_followers = now - self.mirror.last_watch_at < FOLLOWER_SECONDS
