Replace a mutant of the watchers' model that breaks nothing any more

`make model` failed: the mutant hears_stale_answers (a host takes answers that come late or twice) was not caught by no_gap.

The mutant takes away both protections now and is caught by never_back, as names_its_own_revision does. The old form is kept where it does harm, in the model of a restored store: the answer to a watch from before the restore begins at a revision that was given out again, so changes after the list of the new era are missing; caught by no_gap. The shipped list watcher takes no answer to an earlier call; test_late_answer_to_a_watch_from_before_a_restore_is_ignored fails without that rule (tried), and no test had shown it.

--- a/model/watchers.py
+++ b/model/watchers.py
@@ -552,9 +552,15 @@
 
 MUTANTS: tuple[Rules, ...] = (
     Rules("takes_older_lists", "never_back", list_watcher=_TakesOlderLists),
-    Rules("hears_stale_answers", "no_gap", receives_delayed=True),
-    Rules("answers_across_gaps", "no_gap", kind=_AnswersAcrossGaps),
     # Either of the two protections is enough, so both are taken away.
+    Rules(
+        "hears_stale_answers",
+        "never_back",
+        list_watcher=_TakesOlderChanges,
+        receives_delayed=True,
+    ),
+    Rules("answers_across_gaps", "no_gap", kind=_AnswersAcrossGaps),
+    # The same.
     Rules(
         "names_its_own_revision",
         "never_back",
@@ -577,4 +583,6 @@
         list_watcher=_AppliesChangesOfAnyEra,
     ),
     Rules("takes_older_eras", "never_back", list_watcher=_TakesOlderLists),
+    # The answer to a watch from before a restore lacks changes after it.
+    Rules("hears_answers_to_earlier_calls", "no_gap", receives_delayed=True),
 )
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -42,7 +42,7 @@
 
 
 class FakeSource:
-    """A source that records the calls and is never answered."""
+    """A source that records the calls and their callbacks."""
 
     is_mirror = False
 
@@ -50,14 +50,17 @@
         self.address = host
         self.is_mirror = is_mirror
         self.called = []
+        self.callbacks = []
 
     def list(self, kind, done):
         self.called.append(("list", kind))
+        self.callbacks.append(done)
 
     list_unlimited = list
 
     def watch(self, kind, position, wait, done):
         self.called.append(("watch", kind, position))
+        self.callbacks.append(done)
         return lambda: None
 
     def ping(self, done):
@@ -171,6 +174,19 @@
     assert host.store_monitor.store.called[-1] == ("list", "servers")
 
 
+# The answer to a watch from before a restore begins at a revision that was
+# given out again, so it lacks changes after the list of the new era.
+def test_late_answer_to_a_watch_from_before_a_restore_is_ignored(host):
+    receive(host, "servers", 90, 1)
+    watcher = watcher_of(host, "servers")
+    watcher._call_source()
+    host.store_monitor._on_ping_result(stores.PingReply(2))
+    answer_watch, answer_list = host.store_monitor.store.callbacks[-2:]
+    answer_list(stores.Listing((), 60, 2))
+    answer_watch(stores.Changes((), 95, 2))
+    assert watcher.position == at(2, 60)
+
+
 # A watch that waits at a revision that was given out again is not answered
 # for 25 s.
 @pytest.mark.parametrize("by_ping", [False, True])
