Judge the recovery in the soak by requests after the last fault

What was found: the check counted outcomes, not requests. A request that nobody answers ends 1.4 s after its begin, so up to 84 of those that begin before the last fault has ended were counted as not recovered. It also counted until 6 s after the last fault began, so a fault that took 4.2 s left 1.8 s, which is what 108 outcomes amount to.

Now requests that begin after the end of the last fault are counted, for all of the 6 s; the share of 0.9 stays. The check is stricter where the last fault is long: it sees 360 requests in place of what was left of them. The new test of a run in which servers stay silent shows that it still fails. A run that violates a guarantee keeps the logs of its hosts, and the report has the time of each fault, so that the next failure can be traced.

--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -5,14 +5,16 @@
 Signals, store outages, packet loss and silent or draining servers follow each
 other and overlap while callers send requests. With the argument ``restores``
 the store is also restored from copies. Prints the seed and the outcomes as
-JSON.
+JSON, and keeps the logs of the hosts if a guarantee was violated.
 The exit code is 1 when a guarantee was violated.
 """
 
 import asyncio
+import collections
 import json
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -26,7 +28,7 @@
 DEFAULT_SECONDS = 20.0
 DEFAULT_HOSTS = 4
 REQUESTS_PER_SECOND = 60
-# Time for which requests continue once no more faults begin.
+# Time for which requests continue after the end of the last fault.
 RECOVERY_SECONDS = 6.0
 DRAIN_SECONDS = 3.0
 MAX_FAULT_SECONDS = 3.0
@@ -67,7 +69,11 @@
     :param request_count: number of sent requests.
     :param violations: descriptions of violated guarantees.
     :param faults: the faults that may be injected, by name.
-    :param injected: names of the injected faults in order.
+    :param injected: names of the injected faults in order, each with the
+        second in which it began.
+    :param recovering: whether the last fault has ended.
+    :param stopping: whether no further request is sent.
+    :param recovery: outcomes of the requests that began while ``recovering``.
     """
 
     cluster: flow_cluster.FlowCluster
@@ -76,7 +82,10 @@
     fault_count: int = 0
     request_count: int = 0
     violations: list[str] = attrs.field(factory=list)
-    injected: list[str] = attrs.field(factory=list)
+    injected: list[tuple[float, str]] = attrs.field(factory=list)
+    recovering: bool = False
+    stopping: bool = False
+    recovery: collections.Counter = attrs.field(factory=collections.Counter)
 
     async def run(self, seconds: float) -> dict:
         """Inject faults, then check the guarantees and the recovery.
@@ -84,43 +93,45 @@
         :param seconds: time during which faults are injected.
         """
         loop = asyncio.get_running_loop()
-        end = loop.time() + seconds
-        requests = asyncio.create_task(
-            self._send_requests_until(end + RECOVERY_SECONDS)
-        )
+        begin = loop.time()
+        requests = asyncio.create_task(self._send_requests())
         tasks = set()
-        while loop.time() < end:
+        while loop.time() < begin + seconds:
             name = self.rng.choice(sorted(self.faults))
-            self.injected.append(name)
+            self.injected.append((round(loop.time() - begin, 2), name))
             self.fault_count += 1
             tasks.add(asyncio.create_task(self.faults[name](self)))
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
         await asyncio.gather(*tasks)
-        outcomes_before = self.cluster.caller.outcomes.copy()
+        self.recovering = True
         await asyncio.sleep(STABLE_SECONDS)
         self._check_configuration()
+        await asyncio.sleep(RECOVERY_SECONDS - STABLE_SECONDS)
+        self.stopping = True
         await requests
-        self._check(outcomes_before)
+        self._check()
         return self.report()
 
-    async def _send_requests_until(self, end: float) -> None:
-        loop = asyncio.get_running_loop()
+    async def _send_requests(self) -> None:
         tasks = set()
-        names = list(self.cluster.service_addresses)
-        while loop.time() < end:
+        while not self.stopping:
             self.request_count += 1
-            service = names[self.request_count % len(names)]
-            target = self.cluster.service_addresses[service]
-            tasks.add(
-                asyncio.create_task(
-                    self.cluster.caller.request(
-                        target, f"r-{self.request_count}", service
-                    )
-                )
-            )
+            request = self._send_request(self.request_count)
+            tasks.add(asyncio.create_task(request))
             await asyncio.sleep(1 / REQUESTS_PER_SECOND)
         await asyncio.gather(*tasks)
 
+    async def _send_request(self, number: int) -> None:
+        names = list(self.cluster.service_addresses)
+        service = names[number % len(names)]
+        target = self.cluster.service_addresses[service]
+        counts = self.recovering
+        outcome = await self.cluster.caller.request(
+            target, f"r-{number}", service
+        )
+        if counts:
+            self.recovery[outcome] += 1
+
     def _check_configuration(self) -> None:
         """Check that the last configuration is in force on all hosts."""
         for host in self.cluster.hosts:
@@ -132,7 +143,7 @@
                     f"{self.cluster.generation}"
                 )
 
-    def _check(self, outcomes_before) -> None:
+    def _check(self) -> None:
         outcomes = self.cluster.caller.outcomes
         for outcome in (FlowOutcome.WRONG, FlowOutcome.RESET_WHILE_OPEN):
             if outcomes[outcome]:
@@ -144,10 +155,10 @@
             self.violations.append("a request was executed twice")
         if any(one.corrupted_packets for one in self.cluster.servers):
             self.violations.append("a server received a corrupted packet")
-        recovery = outcomes - outcomes_before
-        if recovery[FlowOutcome.SERVED] < 0.9 * sum(recovery.values()):
+        served = self.recovery[FlowOutcome.SERVED]
+        if served < 0.9 * sum(self.recovery.values()):
             self.violations.append(
-                f"not recovered after the faults: {dict(recovery)}"
+                f"not recovered after the faults: {dict(self.recovery)}"
             )
         for host in self.cluster.hosts:
             if "internal error" in host.log_path.read_text():
@@ -161,6 +172,7 @@
             "asked": self.request_count,
             "outcomes": {each.value: n for each, n in outcomes.items()},
             "broken": self.violations,
+            "injected": self.injected,
         }
 
     async def write_configurations(self) -> None:
@@ -330,12 +342,14 @@
     restores = "restores" in sys.argv[3:]
     counts = [int(each) for each in sys.argv[3:] if each.isdecimal()]
     host_count = counts[0] if counts else DEFAULT_HOSTS
-    with tempfile.TemporaryDirectory() as folder:
-        report = asyncio.run(
-            soak(seed, seconds, pathlib.Path(folder), restores, host_count)
-        )
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="flow-soak-"))
+    report = asyncio.run(soak(seed, seconds, folder, restores, host_count))
     print(json.dumps(report))
-    return 1 if report["broken"] else 0
+    if report["broken"]:
+        print(f"the logs of the hosts are in {folder}", file=sys.stderr)
+        return 1
+    shutil.rmtree(folder)
+    return 0
 
 
 if __name__ == "__main__":
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -1,8 +1,13 @@
 """Short soak runs with fixed seeds, some of which exposed a fault."""
 
+import asyncio
+import random
+import signal
+
 import pytest
 
 from examples import flow_soak
+from vanilladrum.standins import object_store
 
 # Seeds, and why each one is here.
 SEEDS = {
@@ -30,3 +35,35 @@
     report = await flow_soak.soak(seed, SECONDS, tmp_path, restores=True)
     assert report["broken"] == [], report
     assert report["faults"] >= 5
+
+
+async def start_without_a_store(soak):
+    """Start all hosts again during an outage; then they know nothing."""
+    soak.cluster.store.injected_fault = object_store.InjectedFault.SILENT
+    for host in soak.cluster.hosts:
+        await flow_soak.restart_host(host, signal.SIGKILL)
+    await asyncio.sleep(3.0)
+    soak.cluster.store.injected_fault = object_store.InjectedFault.NONE
+
+
+# Requests that began before the store was back counted as not recovered, and
+# the longer the last fault took, the fewer of those after it counted.
+async def test_recovery_is_judged_by_requests_after_the_last_fault(cluster):
+    faults = {"start_without_a_store": start_without_a_store}
+    soak = flow_soak.Soak(cluster, random.Random(1), faults)
+    report = await soak.run(0.05)
+    assert report["broken"] == [], report
+    assert report["outcomes"]["unanswered"] > 50
+    requests = flow_soak.RECOVERY_SECONDS * flow_soak.REQUESTS_PER_SECOND
+    assert sum(soak.recovery.values()) > 0.9 * requests
+
+
+# A check that counts too few requests would pass while nothing is served.
+async def test_run_without_recovery_is_reported(cluster):
+    async def darken(soak):
+        for server in soak.cluster.servers:
+            server.silent = True
+
+    soak = flow_soak.Soak(cluster, random.Random(1), {"darken": darken})
+    report = await soak.run(0.05)
+    assert "not recovered" in report["broken"][0]
