Keep some flows of the soak open before their request

Each flow of the soak opened and sent its request at once, so hardly any was open while a host stopped or the store was restored. Every fourth flow is open for 0 to 5 s before its request now, and its packets must still reach its server.

--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -30,6 +30,10 @@
 REQUESTS_PER_SECOND = 60
 # Time for which requests continue after the end of the last fault.
 RECOVERY_SECONDS = 6.0
+# Every n-th flow is open for some seconds, at most this many, before its
+# request; hosts stop and the store is restored meanwhile.
+LONG_FLOW_INTERVAL = 4
+MAX_PAUSE_SECONDS = 5
 DRAIN_SECONDS = 3.0
 MAX_FAULT_SECONDS = 3.0
 # Time after the last fault in which the last configuration has to be in force
@@ -125,9 +129,11 @@
         names = list(self.cluster.service_addresses)
         service = names[number % len(names)]
         target = self.cluster.service_addresses[service]
+        round_number, remainder = divmod(number, LONG_FLOW_INTERVAL)
+        pause = 0 if remainder else round_number % (MAX_PAUSE_SECONDS + 1)
         counts = self.recovering
         outcome = await self.cluster.caller.request(
-            target, f"r-{number}", service
+            target, f"r-{number}", service, pause
         )
         if counts:
             self.recovery[outcome] += 1
--- a/vanilladrum/standins/flow_caller.py
+++ b/vanilladrum/standins/flow_caller.py
@@ -138,22 +138,28 @@
         )
 
     async def request(
-        self, target: addresses.Address, request_id: str, service: str
+        self,
+        target: addresses.Address,
+        request_id: str,
+        service: str,
+        pause: float = 0.0,
     ) -> FlowOutcome:
         """Open a flow, send one request and close the flow.
 
         :param request_id: id of the request.
         :param service: service name; the response must consist of the id
             and this name.
+        :param pause: seconds for which the flow is open before the request;
+            they are added to the deadline.
         """
         self.next_port = FIRST_PORT + (self.next_port + 1) % PORT_COUNT
         source = addresses.Address(self.address.host, self.next_port)
         queue: asyncio.Queue = asyncio.Queue()
         self.queues[target, source] = queue
         try:
-            async with asyncio.timeout(self.deadline):
+            async with asyncio.timeout(self.deadline + pause):
                 outcome = await self._exchange(
-                    source, target, queue, request_id, service
+                    source, target, queue, request_id, service, pause
                 )
         except TimeoutError:
             outcome = FlowOutcome.UNANSWERED
@@ -170,10 +176,12 @@
         queue: asyncio.Queue,
         request_id: str,
         service: str,
+        pause: float,
     ) -> FlowOutcome:
         accepted = await self._open(source, target, queue)
         if isinstance(accepted, FlowOutcome):
             return accepted
+        await asyncio.sleep(pause)
         head = f"GET / HTTP/1.1\r\nX-Request-Id: {request_id}\r\n\r\n"
         segment = flow_packets.Segment(
             source,
