--- a/review/standins/day.py
+++ b/review/standins/day.py
@@ -302,7 +302,12 @@
             await asyncio.to_thread(host.process.wait, GRACE_SECONDS)
             self.log.event("host stopped", host=host.name)
         except subprocess.TimeoutExpired:
-            self.log.event("still running after grace-s", host=host.name)
+            routed = next(e for e in self.router.hosts if e.name == host.name)
+            self.log.event(
+                "still running after grace-s",
+                host=host.name,
+                in_rotation=not routed.misses,
+            )
             host.kill()
 
     async def restart_all(self, seconds: float) -> None:
