--- a/review/standins/day.py
+++ b/review/standins/day.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 
 from standins import client
 from standins import record
@@ -155,7 +156,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.log = record.Record(folder / "record.txt")
-        self.log.event("run", trouble=self.trouble)
+        self.log.event("day", trouble=self.trouble)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temporary.name)
         # Runs at the same time use other addresses.
@@ -357,6 +358,23 @@
             if each["server"] == server_name and each["syn_at"] > limit
         ]
 
+    def run_by_other_service(self) -> list[dict]:
+        """Return the requests that a server of another service has run.
+
+        No configuration of the day changes the service of a route.
+        """
+        wanted = {target: name for name, target in self.targets.items()}
+        sent = {
+            each["request"]: wanted[each["to"]]
+            for each in self.log.all("sent")
+        }
+        services = {each.name: each.service for each in self.servers}
+        return [
+            each
+            for each in self.log.all("run")
+            if services[each["server"]] != sent[each["request"]]
+        ]
+
     async def stop(self) -> None:
         ending = [*self.tasks, *self.requests]
         for task in ending:
@@ -417,17 +435,24 @@
 async def _main(folder: pathlib.Path, play) -> int:
     day = Day(folder)
     code = NOT_RUN
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         await day.start()
         breaches = await play(day)
         code = BROKEN if breaches else HELD
         for each in breaches[:20]:
-            day.log.event("breach", **{"of": each})
+            day.log.event("breach", of=each)
         day.log.event("result", breaches=len(breaches), exit=code)
         print(f"{len(breaches)} breaches of the rule")
-    except (CannotRunError, OSError) as error:
-        day.log.event("cannot run", reason=str(error))
-        print(f"cannot run: {error}")
+    except asyncio.CancelledError:
+        print("cancelled")
+    except Exception as error:
+        # Exit status 1 would say that the rule was broken.
+        day.log.event("cannot run", reason=repr(error))
+        traceback.print_exc()
     finally:
         await day.stop()
     return code
