review: case 2, copies of opening packets go to the service that a route left (CONFIG)

What: a client's second copy of its SYN, sent 0.6 s after the first while the old service was full, goes to the old service although the same entry host follows the new version already.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -112,6 +112,7 @@
         self.syn_sent = self.clients.log.now()
         for copies, wait in enumerate(SYN_WAITS):
             self.send(wire.SYN, ack=copies)
+            self.clients.log.event("syn sent", flow=self.key, copies=copies)
             packet, sender = await self._next(wait)
             if packet is None:
                 continue
--- a/review/standins/day.py
+++ b/review/standins/day.py
@@ -244,8 +244,12 @@
         await added.start()
         return added
 
-    async def write_configuration(self) -> None:
-        """Write the next version, as the operator does."""
+    async def write_configuration(self, **moved: str) -> float:
+        """Write the next version, as the operator does.
+
+        :param moved: service by the name of the one whose requests it gets.
+        :returns: when the store acknowledged it.
+        """
         self.version += random.randint(1, 3)
         routes = [
             {
@@ -256,7 +260,7 @@
                 "timeout-ms": 3000,
                 "target-latency-ms": 200,
                 "priority": 1,
-                "service": name,
+                "service": moved.get(name, name),
                 "max-attempts": 2,
             }
             for name, (host, port) in self.targets.items()
@@ -281,7 +285,9 @@
                 "idle-timeout-ms": 15000,
             },
         }
-        await self.store.put("config", "main", json.dumps(spec))
+        acked = await self.store.put("config", "main", json.dumps(spec))
+        self.log.event("configuration acked", version=self.version)
+        return acked
 
     def write_as_another(self, name: str, spec: str) -> None:
         """Keep an entry in the store that no server has written.
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -54,6 +54,7 @@
         clients_port: int,
         work_seconds: float = 0.01,
         slots: int = 2,
+        max_connections: int = 2000,
     ) -> None:
         self.log = log
         self.store = store
@@ -64,6 +65,7 @@
         self.clients_port = clients_port
         self.work_seconds = work_seconds
         self.slots = slots
+        self.max_connections = max_connections
         self.number = int(name.rpartition("-")[2], 16).to_bytes(8, "big")
         self.born = int(time.time() * 1000)
         self.state = "ready"
@@ -194,6 +196,9 @@
     def _open(self, packet: wire.Packet, source: wire.Endpoint) -> None:
         if packet.key in self.flows:
             return
+        if len(self.flows) >= self.max_connections:
+            # A full server sends nothing.
+            return
         seq = random.getrandbits(32)
         flow = Flow(
             packet,
@@ -239,6 +244,7 @@
                 server=self.name,
                 flow=packet.key,
                 syn_at=self.log.since_start(flow.syn_at),
+                copies=flow.syn.ack,
                 through=flow.through[0],
             )
         flow.unacknowledged = [
