--- a/review/standins/day.py
+++ b/review/standins/day.py
@@ -162,10 +162,9 @@
         # Runs at the same time use other addresses.
         self.network = f"127.{30 + os.getpid() % 220}"
         self.store_ip = f"{self.network}.200.7"
-        ports = _free_ports(4)
-        self.packets, self.readiness, self.control, self.store_port = ports
-        self.internal = _free_ports(1)[0]
-        self.server_port = _free_ports(1)[0]
+        ports = _free_ports(6)
+        self.packets, self.readiness, self.control = ports[:3]
+        self.internal, self.store_port, self.server_port = ports[3:]
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
             self.deploy = tomllib.load(file)
         self.store = store.Store(self.log, PING_SECONDS)
