Notice lost watches of the store within 2.5 s

Cause: both watchers sent their watches of the servers into the outage, 0.5 s after a change, and never got an answer. The pings before and after it succeeded. A lost watch looked like one that waits until it timed out after 25.5 s, and hosts compared configurations but not lists of servers.

Evidence: the record of the case has "store silent" for the watches of both watchers, with wait-ms=25000, and the logs of all hosts have no "store lost".

A watch now waits 2 s at the store too, so that a lost one is noticed within 2.5 s whatever the evidence. A watcher whose watch was sent before other hosts reported a newer list of servers sends it again on a new connection.

Ruled out: more frequent pings, polls of one kind that check the other; see docs/design/STORE-SILENCE.md. Reused connections: the store had read both calls.

--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -71,6 +71,8 @@
         others.
     :param newest_generation: newest generation that hosts with a valid digest
         have reported, 0 if there is none.
+    :param newest_position: newest position of a server list that they have
+        reported, ``START`` if there is none.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self.busy_flows: collections.Counter = collections.Counter()
         self.last_heard: dict[int, float] = {}
         self.newest_generation = 0
+        self.newest_position = positions.START
         self.discovering = True
         self.seeds = frozenset(seeds)
         self.start = rng.getrandbits(32)
@@ -185,6 +188,7 @@
         self.busy_flows.update(digest.busy_flows)
         neighbour.included = True
         self.newest_generation = max(self.newest_generation, digest.generation)
+        self.newest_position = max(self.newest_position, digest.position)
         self._mark_valid(sender, is_local)
         return reply_due
 
@@ -347,14 +351,23 @@
             else:
                 # Not retried: others of its data centre send digests.
                 self._silent_since[host] = neighbour.last_digest_at
-            reported = neighbour.digest.generation if neighbour.digest else 0
-            if reported >= self.newest_generation:
-                self._recompute_newest_generation()
+            if neighbour.digest and self._is_newest(neighbour.digest):
+                self._recompute_newest()
 
-    def _recompute_newest_generation(self) -> None:
+    def _is_newest(self, digest: digests.Digest) -> bool:
+        """Return whether no valid digest reports anything newer."""
+        return (
+            digest.generation >= self.newest_generation
+            or digest.position >= self.newest_position
+        )
+
+    def _recompute_newest(self) -> None:
+        valid = [self.digest(host) for host in self._by_digest_age]
         self.newest_generation = max(
-            (self.digest(host).generation for host in self._by_digest_age),
-            default=0,
+            (each.generation for each in valid), default=0
+        )
+        self.newest_position = max(
+            (each.position for each in valid), default=positions.START
         )
 
     def _forget(self, host: addresses.Address) -> None:
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -14,13 +14,11 @@
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
 
-# Long-poll time of a watch at the store, in seconds. A shorter one costs more
-# calls; the store allows at most 30 s.
-WATCH_SECONDS = 25.0
-# Long-poll time of a watch at another entry host, in seconds. Without a change
-# the host sends an empty answer at the end of it; if that is missing, the host
-# is partitioned or frozen.
-PEER_WATCH_SECONDS = 2.0
+# Long-poll time of a watch, in seconds. Without a change the source sends an
+# empty answer at the end of it. A watch whose answer was lost looks like one
+# that waits until then, so this bounds how long a change can go unnoticed. A
+# shorter time costs more calls to the store.
+WATCH_SECONDS = 2.0
 # Delay between a list from the store and the first watch there, in seconds. By
 # then digests have usually arrived that show which host to follow instead.
 SETTLE_SECONDS = 0.2
@@ -40,6 +38,8 @@
         None before the first list.
     :param listed_at_store: when the store itself last answered a list, in
         monotonic seconds.
+    :param sent_at: when the call that waits for its answer was sent, in
+        monotonic seconds; infinite if there is none.
     """
 
     def __init__(
@@ -60,6 +60,7 @@
         self.is_versioned = is_versioned
         self.position: positions.StorePosition | None = None
         self.listed_at_store = float("-inf")
+        self.sent_at = float("inf")
         self._needs_listing = True
         self._current_source = source_selector.store_monitor.store
         self._call_number = 0
@@ -79,6 +80,7 @@
             self._call_source()
             return
         self._cancel = _no_cancel
+        self.sent_at = float("inf")
         self._call_number += 1
         self._schedule_call(delay)
 
@@ -122,17 +124,19 @@
 
         source = store or self.source_selector.current_client()
         self._current_source = source
+        self.sent_at = self.loop.now()
         if self._needs_listing or self.position is None:
             self._cancel = _no_cancel
             call = source.list_unlimited if whole else source.list
             call(self.kind, on_answer)
             return
-        from_store = source is self.source_selector.store_monitor.store
-        wait = WATCH_SECONDS if from_store else PEER_WATCH_SECONDS
-        self._cancel = source.watch(self.kind, self.position, wait, on_answer)
+        self._cancel = source.watch(
+            self.kind, self.position, WATCH_SECONDS, on_answer
+        )
 
     def _on_answer(self, outcome: Any) -> None:
         call_number = self._call_number
+        self.sent_at = float("inf")
         delay = 0.0
         if isinstance(outcome, errors.HistoryExpiredError):
             self.source_selector.store_monitor.log.event(
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -26,8 +26,9 @@
 # this long, in seconds.
 AVOID_SECONDS = 2.0
 # Longest tolerated lag in seconds: after it, a followed host whose digest
-# reports a newer revision than it delivers is avoided, and a newer
-# configuration that other hosts report is listed.
+# reports a newer revision than it delivers is avoided, a newer configuration
+# that other hosts report is listed, and the watch of the servers is sent again
+# if other hosts report newer ones.
 MAX_LAG_SECONDS = 0.5
 # Time in seconds for a listed configuration to begin to arrive before it is
 # listed again.
@@ -51,11 +52,14 @@
         None before the first list.
     :param listed_at_store: when the store itself last answered a list, in
         monotonic seconds.
+    :param sent_at: when the call that waits for its answer was sent, in
+        monotonic seconds; infinite if there is none.
     """
 
     kind: str
     position: positions.StorePosition | None
     listed_at_store: float
+    sent_at: float
 
     def restart(self, delay: float = 0.0) -> None:
         """Cancel the current call and make a new one after a delay."""
@@ -104,6 +108,7 @@
         self._failed_at: dict[addresses.Address, float] = {}
         self._source_lag_start = loop.now()
         self._configuration_lag_start = loop.now()
+        self._server_lag_start = loop.now()
         # When the store was asked for the generation, and the generation.
         self._asked_store_at = loop.now()
         self._asked_generation = 0
@@ -163,6 +168,7 @@
         now = self.loop.now()
         self._drop_lagging_source(now)
         self._refresh_configuration(now)
+        self._renew_lost_watch(now)
         if self._first_lists_pending(now):
             return
         chosen = watchers.choose_upstream(
@@ -331,6 +337,36 @@
         self._asked_store_at = now
         list_watcher.list_from(self.store_monitor.store)
 
+    def _renew_lost_watch(self, now: float) -> None:
+        """Send the watch of the servers again if other hosts are ahead.
+
+        A watch at the store whose answer was lost looks like one that waits.
+        If it was sent before another host reported a newer position, it
+        should have been answered too. A host that follows another one relies
+        on that host and on :meth:`_drop_lagging_source` instead.
+        """
+        newest = self.neighbours.newest_position
+        received = self.mirror.position(objects.SERVER_KIND)
+        if self.followed_host is not None or newest <= received:
+            self._server_lag_start = now
+            return
+        if now - self._server_lag_start <= MAX_LAG_SECONDS:
+            return
+        for list_watcher in self.list_watchers:
+            if list_watcher.kind != objects.SERVER_KIND:
+                continue
+            if list_watcher.sent_at >= self._server_lag_start:
+                continue
+            self.store_monitor.log.event(
+                "watch renewed",
+                waited=round(now - list_watcher.sent_at, 3),
+                own_position=received,
+                newest=newest,
+            )
+            # An idle connection may be as silent as that of the watch.
+            self.store_monitor.store.drop_idle()
+            list_watcher.restart()
+
     def _list_again(self) -> None:
         for list_watcher in self.list_watchers:
             list_watcher.list_again()
