Choose servers for copied first packets from the route in force

Cause: FlowHost._open chose the second server from the service of the first attempt, which it remembers. Also, a service whose weight had become 0 counted as one that may get the copy again.

Now the route in force decides whether a copy stays at its server and in its service; otherwise the route chooses again. The other places that pick a server (first packets, packets after an end) asked the route already.

Ruled out: hosts that learn of the version late. The hosts of the case had sent flows to the new service before.

--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -300,7 +300,8 @@
         if flow.answered:
             # A late copy of the packet that opened the flow.
             return flows.Ignore("late_first_packet")
-        server = self.choose(flow.server.service, now, excluded=flow.server)
+        service = self._service_for_copy(flow, route)
+        server = self.choose(service, now, excluded=flow.server)
         if server is None:
             return flows.Reset("no_server")
         self.counters["moved_first_packets"] += 1
@@ -356,9 +357,9 @@
         server = self.directory.find(flow.server.tag)
         if server is None:
             return None
-        if server not in self.directory.pool(flow.server.service):
+        if server not in self.directory.pool(server.service):
             return None
-        if not route.has_service(flow.server.service):
+        if not route.gives_new_flows(server.service):
             return None
         has_answered = (
             self.failure_detector.server_record(server).last_answer
@@ -366,6 +367,18 @@
         )
         return server if has_answered or not packet.copies else None
 
+    def _service_for_copy(
+        self, flow: flowtable.OpenFlow, route: routes.Route
+    ) -> str:
+        """Return the service for a first packet that is sent elsewhere.
+
+        It stays the one of the first attempt only while the route in force
+        still sends new flows there.
+        """
+        if route.gives_new_flows(flow.server.service):
+            return flow.server.service
+        return route.choose(self.rng)
+
     def _forward_later_packet(
         self, packet: flows.Packet, route: routes.Route, now: float
     ) -> flows.Decision:
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -48,6 +48,20 @@
         """Return whether the route has a service, whatever its weight."""
         return service in self.services
 
+    def gives_new_flows(self, service: str) -> bool:
+        """Return whether new flows may be sent to a service.
+
+        A service with weight 0 gets none, unless all weights are 0.
+
+        >>> route = Route("r", (Share("a", 0.0), Share("b")), 1.0)
+        >>> route.gives_new_flows("a"), route.gives_new_flows("b")
+        (False, True)
+        """
+        weights = {share.service: share.weight for share in self.shares}
+        if not any(weights.values()):
+            return service in weights
+        return weights.get(service, 0.0) > 0
+
     def choose(self, rng: random.Random) -> str:
         """Return the service for a new flow, chosen by weight.
 
