Make the simulated store tell hosts apart and store any bytes

Faults for some of the entry hosts never took effect: the stand-in compared the caller's address, which is 127.0.0.1 for all processes on loopback, so test_host_rejected_by_the_store_learns_from_its_peers and a half of the soak's store faults injected nothing. Each host now reaches the store at an address of its own; the test also asserts that this host, and no other, lost the store.

test_only_two_hosts_watch_the_store counted the watches in the second after a change, which polls of 2 s make inexact (3 == 2, seen once). It now asserts that at no moment in 3 s more than two watches of a kind wait, and that two do.

put_raw stores a specification that is no valid JSON, for entries of other writers.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -41,6 +41,7 @@
     :param packet_address: endpoint that receives packets of flows.
     :param readiness: endpoint that answers readiness probes.
     :param peer: endpoint for the other entry hosts.
+    :param store: endpoint at which it reaches the store.
     :param settings: path of the settings file.
     :param log_path: path of the log.
     """
@@ -49,6 +50,7 @@
     packet_address: addresses.Address
     readiness: addresses.Address
     peer: addresses.Address
+    store: addresses.Address
     settings: pathlib.Path
     log_path: pathlib.Path
     process: subprocess.Popen | None = None
@@ -134,8 +136,9 @@
             self.store.app(), access_log=None, shutdown_timeout=0.1
         )
         await self.runner.setup()
-        store = addresses.Address("127.200.0.1", self.ports[3])
-        await web.TCPSite(self.runner, store.host, store.port).start()
+        for number in range(1, self.host_count + 1):
+            store = self.store_address(number)
+            await web.TCPSite(self.runner, store.host, store.port).start()
         number = 0
         for service, count in SERVER_COUNTS.items():
             for _ in range(count):
@@ -231,6 +234,7 @@
             addresses.Address(ip, self.ports[0]),
             addresses.Address(ip, self.ports[1]),
             addresses.Address(ip, self.ports[2]),
+            self.store_address(number),
             self.folder / f"host-{number}.conf",
             self.folder / f"host-{number}.log",
         )
@@ -243,12 +247,16 @@
             f"listen-addrs.readiness-addr={host.readiness}\n"
             f"internal-ports={host.peer.port},{host.peer.port}\n"
             f"seeds={seeds}\n"
-            f"platform.address=127.200.0.1:{self.ports[3]}\n"
+            f"platform.address={host.store}\n"
             f"bounds.grace-s={GRACE_SECONDS}\n"
             "new.field=ignored\n"
         )
         return host
 
+    def store_address(self, number: int) -> addresses.Address:
+        """Return the endpoint at which an entry host reaches the store."""
+        return addresses.Address(f"127.200.0.{number}", self.ports[3])
+
     async def stop(self) -> None:
         """Stop all parts that were started."""
         if self.probing is not None:
--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -255,7 +255,7 @@
     store = soak.cluster.store
     store.injected_fault = soak.rng.choice(list(object_store.InjectedFault))
     some = soak.rng.sample(soak.cluster.hosts, soak.cluster.host_count // 2)
-    addresses = frozenset(host.packet_address.host for host in some)
+    addresses = frozenset(host.store.host for host in some)
     store.rejected_hosts = soak.rng.choice([frozenset(), addresses])
     await asyncio.sleep(soak.random_duration())
     if soak.rng.random() < 0.5:
--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -194,13 +194,15 @@
 async def test_host_rejected_by_the_store_learns_from_its_peers(cluster):
     first = cluster.hosts[0]
     # The store is busy for the first host only.
-    cluster.store.rejected_hosts = frozenset({first.packet_address.host})
+    cluster.store.rejected_hosts = frozenset({first.store.host})
     cluster.store.injected_fault = object_store.InjectedFault.BUSY
     await asyncio.sleep(1.5)
     await cluster.write_configuration()
     await asyncio.sleep(2.0)
     adopted = logged_events(first, "configuration adopted")
     assert adopted[-1]["offered"] == cluster.generation
+    assert logged_events(first, "store lost")
+    assert not logged_events(cluster.hosts[1], "store lost")
 
 
 async def test_objects_are_listed_again_after_the_history_is_truncated(
@@ -219,12 +221,15 @@
 
 async def test_only_two_hosts_watch_the_store(cluster):
     await asyncio.sleep(4.0)
-    cluster.store.calls.clear()
     server = cluster.servers[0]
     await cluster.store.put("servers", server.name, server.store_entry())
-    await asyncio.sleep(1.0)
-    # Each host whose watch returned the change starts a new watch.
-    assert cluster.store.calls["watch"] == 2
+    waiting = {"servers": 0, "config": 0}
+    for _ in range(300):
+        for kind, most in waiting.items():
+            waiting[kind] = max(most, cluster.store.waiting[kind])
+        await asyncio.sleep(0.01)
+    # Each host has at most one watch of a kind.
+    assert waiting == {"servers": 2, "config": 2}
 
 
 async def test_entries_removed_in_an_outage_stay_in_use(cluster):
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -4,6 +4,7 @@
 import collections
 import copy
 import enum
+import json
 
 from aiohttp import web
 import attrs
@@ -62,10 +63,14 @@
         object and whether it was deleted.
     :param history_start: lowest revision that a watch may start from.
     :param injected_fault: fault injected into calls, until it is changed.
-    :param rejected_hosts: client addresses that the fault applies to; all if
-        empty.
+    :param rejected_hosts: addresses of the store at which the fault applies
+        to calls; all if empty. Each entry host has one of its own, because all
+        connect from the same address on loopback.
     :param calls: number of calls by operation; ``answer`` counts the
         responses to watches.
+    :param raw_specs: bytes that take the place of a specification in answers,
+        by the encoded marker that is stored instead of it.
+    :param waiting: number of watches that wait for a change now, by kind.
     """
 
     revision: int = 1
@@ -78,6 +83,8 @@
     injected_fault: InjectedFault = InjectedFault.NONE
     rejected_hosts: frozenset[str] = frozenset()
     calls: collections.Counter = attrs.field(factory=collections.Counter)
+    raw_specs: dict[bytes, bytes] = attrs.field(factory=dict)
+    waiting: collections.Counter = attrs.field(factory=collections.Counter)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     async def put(self, kind: str, name: str, spec: object) -> None:
@@ -87,6 +94,12 @@
         self.kinds[kind][name] = stored
         await self._record_change(kind, stored, False)
 
+    async def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Create or replace an object with a specification of any bytes."""
+        marker = f"raw specification of {kind}/{name}"
+        self.raw_specs[json.dumps(marker).encode()] = spec
+        await self.put(kind, name, marker)
+
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object.
 
@@ -150,7 +163,8 @@
     async def _inject_fault(self, request: web.Request, call: str) -> None:
         self.calls[call] += 1
         affected = (
-            not self.rejected_hosts or request.remote in self.rejected_hosts
+            not self.rejected_hosts
+            or _called_address(request) in self.rejected_hosts
         )
         if self.injected_fault is InjectedFault.NONE or not affected:
             return
@@ -166,7 +180,7 @@
         kind, name = request.match_info["kind"], request.match_info["name"]
         if name not in self.kinds[kind]:
             raise web.HTTPNotFound(text="{}")
-        return web.json_response(self.kinds[kind][name])
+        return self._respond(self.kinds[kind][name])
 
     async def _list(self, request: web.Request) -> web.Response:
         if "watch" in request.query:
@@ -180,7 +194,7 @@
             "has-more": len(names) > PAGE_SIZE,
             "store-revision": self.revision,
         }
-        return web.json_response(body)
+        return self._respond(body)
 
     async def _watch(self, request: web.Request) -> web.Response:
         await self._inject_fault(request, "watch")
@@ -190,12 +204,15 @@
         if not self.history_start <= since <= self.revision:
             raise web.HTTPGone(text="{}")
         era = self.era
+        self.waiting[kind] += 1
         try:
             async with asyncio.timeout(wait), self.changed:
                 while era == self.era and not self._events(kind, since):
                     await self.changed.wait()
         except TimeoutError:
             pass
+        finally:
+            self.waiting[kind] -= 1
         if era != self.era:
             _abort(request)
         await self._inject_fault(request, "answer")
@@ -203,7 +220,13 @@
             "events": self._events(kind, since),
             "store-revision": self.revision,
         }
-        return web.json_response(body)
+        return self._respond(body)
+
+    def _respond(self, document: dict) -> web.Response:
+        body = json.dumps(document).encode()
+        for marker, spec in self.raw_specs.items():
+            body = body.replace(marker, spec)
+        return web.Response(body=body, content_type="application/json")
 
     def _events(self, kind: str, since: int) -> list[dict]:
         return [
@@ -213,6 +236,12 @@
         ]
 
 
+def _called_address(request: web.Request) -> str:
+    if request.transport is None:
+        return ""
+    return request.transport.get_extra_info("sockname")[0]
+
+
 def _abort(request: web.Request) -> None:
     if request.transport is not None:
         request.transport.abort()
