Run the parts of a tick independently of each other

Evidence: "internal error" in the log of each tick.

The parts now run one by one; one that fails is logged.

--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -17,6 +17,7 @@
 from vanilladrum.core import flow_observer
 from vanilladrum.core import flowtable
 from vanilladrum.core import neighbours as neighbour_tables
+from vanilladrum.core import periodic
 from vanilladrum.core import position as positions
 from vanilladrum.core import routes
 from vanilladrum.core import serverstate
@@ -76,6 +77,8 @@
     :param rng: source of randomness.
     :param departed_seconds: seconds for which open flows of departed servers
         are still forwarded.
+    :param on_error: called with the exception of a part of :meth:`tick` that
+        fails; raises it again by default.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.data_centre = data_centre
         self.neighbours = neighbours
         self.rng = rng
+        self.on_error: periodic.ErrorHandler = periodic.raise_again
         self.configuration = routes.NO_CONFIGURATION
         # Services that open flows of an address may belong to: those of the
         # current route and of its earlier versions. Removing the route
@@ -171,17 +175,32 @@
             # answers are no sign of a failed server.
             self.table.clear_unanswered()
         self.last_tick = now
-        self._update_silent_data_centres(now)
-        attempts = self._find_unanswered(now) if input_read else []
-        self.table.expire(now)
-        self.neighbours.tick(now)
+        attempts: list[UnansweredAttempt] = []
+
+        def find_unanswered() -> None:
+            if input_read:
+                attempts.extend(self._find_unanswered(now))
+
+        periodic.run_each(
+            (
+                lambda: self._update_silent_data_centres(now),
+                find_unanswered,
+                lambda: self.table.expire(now),
+                lambda: self.neighbours.tick(now),
+                lambda: self._remove_servers(now),
+            ),
+            self.on_error,
+        )
+        return attempts
+
+    def _remove_servers(self, now: float) -> None:
+        """Remove the servers that are gone, and what is known of them."""
         if not self.entries_may_return:
             for _ in self.directory.remove_missing(now):
                 self.counters["servers_gone"] += 1
         for server in self.directory.expire(now):
             self.failure_detector.remove(server)
             self.speed_estimator.remove(server)
-        return attempts
 
     def _find_unanswered(self, now: float) -> list[UnansweredAttempt]:
         """Record the first packets that were not answered in time."""
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -12,6 +12,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
 from vanilladrum.core import neighbours
+from vanilladrum.core import periodic
 from vanilladrum.daemons import digest_exchange
 from vanilladrum.daemons import flow_metrics
 from vanilladrum.daemons import health_checks
@@ -63,6 +64,7 @@
         self.log = log
         self.loop = loops.Loop(self._on_exception)
         self.core = _make_core(settings)
+        self.core.on_error = self._on_exception
         self.state_sync = state_sync.StateSync(
             self.loop, settings, self.core, log, self._on_state_known
         )
@@ -177,24 +179,53 @@
         finally:
             self.log.flush()
             self.next_tick = float("inf")
-            self._schedule_tick(
-                min(
-                    self.core.next_tick_at(now),
-                    self.state_sync.next_tick_at(now),
-                    self.digest_exchange.next_due(),
-                )
+            self._schedule_tick(self._next_due(now))
+
+    def _next_due(self, now: float) -> float:
+        """Return when the next tick is due, in monotonic seconds."""
+        due = flowhost.BUSY_TICK_INTERVAL_SECONDS + now
+        try:
+            due = min(
+                self.core.next_tick_at(now),
+                self.state_sync.next_tick_at(now),
+                self.digest_exchange.next_due(),
             )
+        except Exception as error:
+            # Without a next tick the process would do nothing more.
+            self._on_exception(error)
+        return due
 
     def _run_due_work(self, now: float) -> None:
-        self.state_sync.tick()
+        """Run all periodic work; a part that fails does not stop the others.
+
+        In particular, the planned stop is obeyed in any case.
+        """
+        periodic.run_each(
+            (
+                self.state_sync.tick,
+                lambda: self._tick_core(now),
+                lambda: self._start_health_checks(now),
+                lambda: self.digest_exchange.tick(now),
+                lambda: self._reload_if_due(now),
+                lambda: self._stop_if_requested(now),
+            ),
+            self._on_exception,
+        )
+
+    def _tick_core(self, now: float) -> None:
         for attempt in self.core.tick(now, self._read_input()):
             self._log_unanswered_attempt(attempt)
+
+    def _start_health_checks(self, now: float) -> None:
         for server in self.core.due_checks(now):
             self.health_checker.start(server)
-        self.digest_exchange.tick(now)
+
+    def _reload_if_due(self, now: float) -> None:
         if self.reload_requested or self._settings_changed(now):
             self.reload_requested = False
             self._reload()
+
+    def _stop_if_requested(self, now: float) -> None:
         if self.stop_requested:
             self._stop(now)
 
