Encode generations above 2^32 - 1 in digests

The whole generation now follows the era if it does not fit into the header. Hosts of earlier releases ignore it and take the largest number of the header; without such a version nothing changes.

--- a/vanilladrum/wire/digests.py
+++ b/vanilladrum/wire/digests.py
@@ -22,6 +22,11 @@
 # The digest ends with the era of the server list. Hosts of earlier releases
 # set no such flag, ignore it and what follows the addresses.
 ERA_FLAG = 16
+# The era is followed by the whole generation, because it does not fit into the
+# header, which has MAX_HEADER_GENERATION. Earlier releases ignore it and take
+# the one of the header.
+GENERATION_FLAG = 32
+MAX_HEADER_GENERATION = 2**32 - 1
 # Greater numbers of open flows are encoded as this, the largest 16-bit value.
 MAX_BUSY_FLOWS = 65535
 # Keeps a digest below 1,000 bytes with all headers, so that 25 digests a
@@ -36,6 +41,8 @@
 _HOST_ADDRESS = struct.Struct("!4sH")
 # Era of the server list.
 _ERA = struct.Struct("!I")
+# Generation of the configuration in force.
+_GENERATION = struct.Struct("!Q")
 
 
 def encode(digest: digest_types.Digest) -> bytes:
@@ -53,7 +60,7 @@
             digest.start,
             digest.sequence,
             digest.data_centre,
-            digest.generation,
+            min(digest.generation, MAX_HEADER_GENERATION),
             digest.revision,
             len(encoded),
             len(digest.hosts),
@@ -68,6 +75,8 @@
         for host in digest.hosts
     )
     parts.append(_ERA.pack(digest.era))
+    if digest.generation > MAX_HEADER_GENERATION:
+        parts.append(_GENERATION.pack(digest.generation))
     return b"".join(parts)
 
 
@@ -78,6 +87,7 @@
         | STORE_UNREACHABLE_FLAG * digest.store_unreachable
         | ENTRIES_MAY_RETURN_FLAG * digest.entries_may_return
         | ERA_FLAG
+        | GENERATION_FLAG * (digest.generation > MAX_HEADER_GENERATION)
     )
 
 
@@ -126,6 +136,9 @@
     era = 0
     if flags & ERA_FLAG:
         (era,) = _ERA.unpack_from(datagram, offset)
+        offset += _ERA.size
+    if flags & GENERATION_FLAG:
+        (generation,) = _GENERATION.unpack_from(datagram, offset)
     return digest_types.Digest(
         start,
         sequence,
