Leave out only the unreadable entry of an answer, check every field once

Cause: an answer was decoded as one document and refused as a whole. Evidence: the answer's PlatformError, and the same call repeated with the same result.

Such an answer is now split into its objects without recursion, and only the content of the odd one is left out; it keeps its name. Each field of entries and configurations has a type and bounds where it enters: text that can be encoded, integers, durations, weights, IPv4 endpoints with a port. Messages name types and bounds, not the value. A mirror leaves out what it cannot encode. Exceptions in handlers of answers no longer end in the parser, which hid them. Settings have bounds.

test_any_server_name_is_read_or_refused now makes the object inside its try: names are checked as soon as the object is parsed.

--- a/model/watchers.py
+++ b/model/watchers.py
@@ -156,7 +156,7 @@
     name: str, revision: int, deleted: bool
 ) -> objects.StoredObject:
     plain = object_store.make_object(name, revision, {})
-    return objects.parse_object(plain, deleted)
+    return objects.parse_object(plain, deleted=deleted)
 
 
 class _StubSourceSelector:
--- a/tests/stored_objects.py
+++ b/tests/stored_objects.py
@@ -42,4 +42,4 @@
 def make_object(name, content, revision=1, deleted=False):
     """Return an object as the platform client parses it."""
     document = {"meta": {"name": name, "revision": revision}, "spec": content}
-    return objects.parse_object(document, deleted)
+    return objects.parse_object(document, deleted=deleted)
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -109,8 +109,8 @@
     received = tuple(
         objects.parse_object(
             {"meta": {"name": name, "revision": revision}, "spec": content},
-            content is None,
             era,
+            content is None,
         )
         for name, content in stored
     )
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -360,8 +360,8 @@
 @example("i-" + "f" * 17)
 @FUZZ_LIMITS
 def test_any_server_name_is_read_or_refused(name):
-    entry = stored_objects.make_object(name, stored_objects.SERVER_ENTRY)
     try:
+        entry = stored_objects.make_object(name, stored_objects.SERVER_ENTRY)
         server = objects.parse_server(entry)
     except errors.PlatformError:
         return
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -201,6 +201,8 @@
         """
         if self._is_older(outcome):
             return self._refuse(outcome)
+        if outcome.unnamed:
+            self._log_unnamed(outcome.unnamed)
         if isinstance(outcome, stores.Listing):
             delay = self._apply_listing(outcome)
         elif self.position and outcome.era != self.position.era:
@@ -272,6 +274,15 @@
             return self.source_selector.batch_delay()
         return 0.0
 
+    def _log_unnamed(self, count: int) -> None:
+        self.source_selector.store_monitor.log.event(
+            "objects left out",
+            kind=self.kind,
+            source=self._current_source.address,
+            unnamed=count,
+            reason="their names cannot be read",
+        )
+
     def _log_refused(self, outcome: stores.Listing | stores.Changes) -> None:
         log = self.source_selector.store_monitor.log
         if not log.is_allowed("answer refused"):
--- a/vanilladrum/platform/answers.py
+++ b/vanilladrum/platform/answers.py
@@ -1,11 +1,11 @@
 """Reads the store's answers: status, compression, JSON and era."""
 
 from collections.abc import Callable
-import json
 import zlib
 
 from vanilladrum.core import errors
 from vanilladrum.platform import connection as connections
+from vanilladrum.platform import partial_json
 
 # Largest size of a decompressed response, in bytes; eight pages of a list.
 MAX_DECOMPRESSED_BYTES = 8_000_000
@@ -16,14 +16,12 @@
 _TOO_LARGE = 413
 # Statuses of a call that the store did not process.
 _UNAVAILABLE = (429, 503)
-# Errors that content of another form raises; a document that is nested too
-# deeply raises RecursionError.
+# Errors that content of another form raises.
 _UNREADABLE = (
-    ValueError,
+    *partial_json.DECODE_ERRORS,
     KeyError,
     TypeError,
     AttributeError,
-    RecursionError,
     zlib.error,
 )
 # Converts the decoded JSON document and the era of an answer to its value.
@@ -71,7 +69,10 @@
         )
     try:
         content = _decompress(body) if compressed else body
-        return read(json.loads(content or b"{}"), era)
+        document = partial_json.loads(content or b"{}")
+        if not isinstance(document, dict):
+            raise TypeError(f"{type(document).__name__} in place of an object")
+        return read(document, era)
     except errors.PlatformError as error:
         return error
     except _UNREADABLE as error:
--- a/vanilladrum/platform/connection.py
+++ b/vanilladrum/platform/connection.py
@@ -66,6 +66,7 @@
         self.compressed = False
         self.era = 0
         self.last_received = float("-inf")
+        self._completed: tuple[Call, Answer] | None = None
         self.loop = loop
         self.parser = httptools.HttpResponseParser(self)
         self.stream = streams.Stream.connect(
@@ -102,7 +103,8 @@
             self.stream.close()
         if call is not None:
             status = self.parser.get_status_code()
-            call.finish(Answer(status, self.body, self.compressed, self.era))
+            answer = Answer(status, self.body, self.compressed, self.era)
+            self._completed = (call, answer)
 
     def _received(self, data: bytes) -> None:
         self.last_received = self.loop.now()
@@ -111,6 +113,17 @@
         except httptools.HttpParserError as error:
             self.stream.close()
             self._failed(f"no HTTP response: {error}")
+        self._finish_completed()
+
+    def _finish_completed(self) -> None:
+        """Pass on a complete answer.
+
+        The parser would hide an exception that was raised while it runs.
+        """
+        completed, self._completed = self._completed, None
+        if completed is not None:
+            call, answer = completed
+            call.finish(answer)
 
     def _failed(self, reason: str) -> None:
         call, self.call = self.call, None
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -31,8 +31,14 @@
 # whose link is faster. Twenty hosts that follow a host with a link of 5 Mbit/s
 # receive this much in half a second.
 MAX_RELAYED_BYTES = 16_000
+# Longest time in seconds that a watch waits, as at the store.
+MAX_WAIT_SECONDS = 30.0
 # Answers of each kind that are cached for hosts that send the same request.
 MAX_CACHED_ANSWERS = 16
+# Errors that a value which cannot be encoded as JSON raises.
+_ENCODE_ERRORS = (ValueError, TypeError, RecursionError)
+# Fields of the metadata that are read when an object is parsed.
+_META_FIELDS = ("name", "revision", objects.ERA_FIELD)
 _SECONDS_PER_MS = 0.001
 _GONE = httpd.Response(410)
 _NOT_FOUND = httpd.Response(404)
@@ -251,7 +257,7 @@
             revision = int(query["watch"][0])
             wait = int(query.get("wait-ms", ["0"])[0]) * _SECONDS_PER_MS
             era = int(query.get(stores.ERA_PARAMETER, [mirrored.era])[0])
-        except ValueError:
+        except (ValueError, OverflowError):
             request.respond(httpd.Response(400))
             return
         self.last_watch_at = self.loop.now()
@@ -262,7 +268,7 @@
         if mirrored.has_changes_after(revision):
             request.respond(_limit_size(mirrored.changes_response(revision)))
             return
-        until = self.loop.now() + wait
+        until = self.loop.now() + min(wait, MAX_WAIT_SECONDS)
         mirrored.pending_watches.append(
             _PendingWatch(request, revision, until)
         )
@@ -305,9 +311,47 @@
 
 def _encode(document: dict, era: int) -> httpd.Response:
     """Return a response with a JSON document, compressed if it is large."""
-    body = json.dumps(document).encode()
+    body = _dump(document)
     headers = {connections.ERA_HEADER: str(era)}
     if len(body) <= MAX_UNCOMPRESSED_BYTES:
         return httpd.Response(200, body, headers=headers)
     compressed = zlib.compress(body, COMPRESSION_LEVEL)
     return httpd.Response(200, compressed, compressed=True, headers=headers)
+
+
+def _dump(document: dict) -> bytes:
+    """Encode an answer, without the content of objects that cannot be.
+
+    An object that could just be decoded may be nested too deeply to be
+    encoded as a part of an answer.
+    """
+    try:
+        return json.dumps(document).encode()
+    except _ENCODE_ERRORS:
+        return json.dumps(_without_unencodable(document)).encode()
+
+
+def _without_unencodable(document: dict) -> dict:
+    """Return an answer in which the content of some objects is None."""
+    if "items" in document:
+        items = [_encodable(each) for each in document["items"]]
+        return document | {"items": items}
+    events = [
+        each | {"object": _encodable(each["object"])}
+        for each in document["events"]
+    ]
+    return document | {"events": events}
+
+
+def _encodable(plain: dict) -> dict:
+    try:
+        # An answer has up to four levels around an object.
+        json.dumps([[[[plain]]]])
+    except _ENCODE_ERRORS:
+        meta = {
+            key: plain["meta"][key]
+            for key in _META_FIELDS
+            if key in plain["meta"]
+        }
+        return {"meta": meta, "spec": None, "status": None}
+    return plain
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -1,5 +1,6 @@
 """Converts the platform's objects to the types of the core."""
 
+from collections.abc import Callable
 import struct
 from typing import Any
 
@@ -8,6 +9,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import routes
 from vanilladrum.core import serverstate
+from vanilladrum.platform import connection as connections
 from vanilladrum.platform import packet
 
 # Kinds and names of the objects that entry hosts read.
@@ -17,19 +19,26 @@
 # Field of the metadata that entry hosts add to an object of an earlier era.
 ERA_FIELD = "era"
 SECONDS_PER_MS = 0.001
+# Bounds of values that other programs wrote. The largest integer fits into
+# what is sent between hosts; floats hold all smaller durations exactly.
+MAX_INTEGER = 2**63 - 1
+MAX_DURATION_MS = 10**9
+MAX_SLOTS = 100_000
+MAX_WEIGHT = 1e9
+MAX_TEXT_LENGTH = 256
 # Types of routes whose requests are idempotent.
 _REPEATABLE_TYPES = ("safe", "download")
 _SERVER_STATES = {
     "ready": serverstate.ServerState.ACTIVE,
     "draining": serverstate.ServerState.LEAVING,
 }
-# Errors that a missing or invalid value raises during conversion.
+# Errors that a missing or invalid value raises during conversion. Their
+# messages name types and bounds but not the value, which may be of any size.
 _CONVERSION_ERRORS = (
     KeyError,
     TypeError,
     ValueError,
     AttributeError,
-    OverflowError,
     struct.error,
     errors.AddressError,
 )
@@ -63,32 +72,70 @@
         self.era = era
 
 
+def parse_readable(
+    parse: Callable[[Any, int], StoredObject], documents: list, era: int
+) -> tuple[StoredObject, ...]:
+    """Read objects or events; leave out those without a readable name.
+
+    :param parse: :func:`parse_object` or :func:`parse_event`.
+    :param documents: the objects or events as decoded from JSON.
+    :param era: number of restores of the store that sent them.
+    """
+    parsed = []
+    for each in documents:
+        try:
+            parsed.append(parse(each, era))
+        except errors.PlatformError:
+            # Counted and logged by the list watcher.
+            continue
+    return tuple(parsed)
+
+
+def parse_event(event: Any, era: int = 0) -> StoredObject:
+    """Read an event of a watch.
+
+    :param event: the event as decoded from JSON.
+    :param era: number of restores of the store that sent it.
+    :raises PlatformError: when a part of it is missing.
+    """
+    try:
+        deleted = expect_bool(event["deleted"])
+        changed = event["object"]
+    except (KeyError, TypeError) as error:
+        raise _unreadable_object_error(error) from error
+    return parse_object(changed, era, deleted)
+
+
 def parse_object(
-    plain: dict, deleted: bool = False, era: int = 0
+    plain: Any, era: int = 0, deleted: bool = False
 ) -> StoredObject:
     """Read an object as it appears in lists and in events of a watch.
 
     :param plain: the object as decoded from JSON.
-    :param deleted: whether the event reports its deletion.
     :param era: number of restores of the store that sent it. An object that
         another host has kept through a restore has its own.
-    :raises PlatformError: when the name or the revision is missing.
+    :param deleted: whether the event reports its deletion.
+    :raises PlatformError: when the name or the revision cannot be read.
     """
     try:
         meta = plain["meta"]
         return StoredObject(
-            _expect_str(meta["name"]),
-            expect_int(meta["revision"]),
+            expect_text(meta["name"]),
+            expect_int(meta["revision"], 0, MAX_INTEGER),
             plain.get("spec"),
             deleted,
             plain,
-            expect_int(meta.get(ERA_FIELD, era)),
+            expect_int(meta.get(ERA_FIELD, era), 0, connections.MAX_ERA),
         )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise errors.PlatformError(
-            f"the store sent an object that cannot be read ({error!r}); "
-            "check the program that wrote it"
-        ) from error
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise _unreadable_object_error(error) from error
+
+
+def _unreadable_object_error(error: Exception) -> errors.PlatformError:
+    return errors.PlatformError(
+        f"the store sent an object that cannot be read ({error!r}); "
+        "check the program that wrote it"
+    )
 
 
 def parse_server(entry: StoredObject) -> backends.Backend:
@@ -98,20 +145,22 @@
     """
     try:
         content = entry.content
+        warm_up_ms = expect_int(
+            content.get("warmup-left-ms", 0), 0, MAX_DURATION_MS
+        )
         return backends.Backend(
             name=entry.name,
             wire_id=packet.wire_id(entry.name),
-            started=expect_int(content.get("born", 0)),
-            service=_expect_str(content["service"]),
-            address=addresses.parse(_expect_str(content["address"])),
-            data_centre=_expect_str(content["zone"]),
+            started=expect_int(content.get("born", 0), 0, MAX_INTEGER),
+            service=expect_text(content["service"]),
+            address=_parse_endpoint(expect_text(content["address"])),
+            data_centre=expect_text(content["zone"]),
             # The platform calls the number of slots concurrency.
-            slots=max(1, expect_int(content["max-concurrency"])),
-            state=_SERVER_STATES[content["state"]],
+            slots=max(1, expect_int(content["max-concurrency"], 0, MAX_SLOTS)),
+            state=_SERVER_STATES[expect_text(content["state"])],
             # Remaining warm-up time when the entry was written.
-            warm_up=expect_int(content.get("warmup-left-ms", 0))
-            * SECONDS_PER_MS,
-            sequence=expect_int(content.get("sequence", 0)),
+            warm_up=warm_up_ms * SECONDS_PER_MS,
+            sequence=expect_int(content.get("sequence", 0), 0, MAX_INTEGER),
         )
     except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
@@ -128,17 +177,18 @@
     try:
         content = entry.content
         routes_by_address = {}
-        for each in content["routes"]:
+        for each in expect_list(content["routes"]):
             routes_by_address[_route_key(each)] = _route(each)
+        limits = content["limits"]
         return routes.FlowConfiguration(
-            generation=expect_int(content["version"]),
+            generation=expect_int(content["version"], 1, MAX_INTEGER),
             routes=routes_by_address,
-            idle_timeout=content["limits"]["idle-timeout-ms"] * SECONDS_PER_MS,
+            idle_timeout=_expect_duration(limits["idle-timeout-ms"]),
             health_paths={
-                _expect_str(each["name"]): _expect_str(
+                expect_text(each["name"]): _expect_path(
                     each["health-check-path"]
                 )
-                for each in content["services"]
+                for each in expect_list(content["services"])
             },
             era=entry.era,
         )
@@ -149,45 +199,129 @@
         ) from error
 
 
+def _parse_endpoint(text: str) -> addresses.Address:
+    """Return an IPv4 endpoint; the platform has no others.
+
+    :raises ValueError: when it is one of IPv6, or its port is 0.
+    :raises AddressError: when the text is no endpoint.
+    """
+    endpoint = addresses.parse(text)
+    if ":" in endpoint.host or not endpoint.port:
+        raise ValueError("no IPv4 endpoint with a port")
+    return endpoint
+
+
 def _route_key(route: dict) -> bytes:
     """Return the packed address and port of a route, 6 bytes."""
     # The address of a route is split into two fields: the host is an IP
     # address, and the path prefix is a port between slashes.
-    port = int(route["path-prefix"].strip("/"))
-    return addresses.parse(f"{route['host']}:{port}").pack()
+    host = expect_text(route["host"])
+    port = int(expect_text(route["path-prefix"]).strip("/"))
+    return _parse_endpoint(f"{host}:{port}").pack()
 
 
 def _route(route: dict) -> routes.Route:
     if "service" in route:
         shares: tuple[routes.Share, ...] = (
-            routes.Share(_expect_str(route["service"])),
+            routes.Share(expect_text(route["service"])),
         )
     else:
         # The platform calls the services of a route backends.
         shares = tuple(
-            routes.Share(_expect_str(each["service"]), float(each["weight"]))
-            for each in route["backends"]
+            routes.Share(
+                expect_text(each["service"]),
+                _expect_number(each["weight"], MAX_WEIGHT),
+            )
+            for each in expect_list(route["backends"])
         )
+    if not shares:
+        raise ValueError("a route has no service")
     return routes.Route(
-        name=_expect_str(route["name"]),
+        name=expect_text(route["name"]),
         shares=shares,
-        timeout=route["timeout-ms"] * SECONDS_PER_MS,
+        timeout=_expect_duration(route["timeout-ms"]),
         repeatable=route.get("type") in _REPEATABLE_TYPES,
     )
 
 
-def _expect_str(value: object) -> str:
-    if isinstance(value, str):
-        return value
-    raise TypeError(f"{value!r} is not a string")
+def expect_text(value: object) -> str:
+    """Return a value that must be a text that can be encoded and logged.
 
+    :raises TypeError: when it is no text.
+    :raises ValueError: when it is empty, longer than ``MAX_TEXT_LENGTH``
+        characters, or has characters that cannot be printed. A lone surrogate
+        is one: it cannot be encoded.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"{type(value).__name__} in place of a text")
+    if not 0 < len(value) <= MAX_TEXT_LENGTH:
+        raise ValueError(f"a text of {len(value)} characters")
+    if not value.isprintable():
+        raise ValueError("a text that cannot be printed")
+    return value
 
-def expect_int(value: object) -> int:
-    """Return a value that must be an integer.
 
-    :raises TypeError: when it is not.
+def _expect_path(value: object) -> str:
+    """Return the path of a URL, which is sent in a request line.
+
+    :raises ValueError: when it is empty or has other characters than ASCII
+        ones, or spaces.
+    """
+    path = expect_text(value)
+    if not path.isascii() or " " in path:
+        raise ValueError("a path that cannot be requested")
+    return path
+
+
+def expect_int(value: object, lowest: int, highest: int) -> int:
+    """Return a value that must be an integer within bounds.
+
+    :raises TypeError: when it is no integer.
+    :raises ValueError: when it is out of bounds.
     """
     # isinstance would accept bool, a subclass of int.
-    if type(value) is int:
-        return value
-    raise TypeError(f"{value!r} is not an integer")
+    if type(value) is not int:
+        raise TypeError(f"{type(value).__name__} in place of an integer")
+    if not lowest <= value <= highest:
+        raise ValueError(f"an integer that is not {lowest} to {highest}")
+    return value
+
+
+def expect_bool(value: object) -> bool:
+    """Return a value that must be true or false.
+
+    :raises TypeError: when it is neither.
+    """
+    if not isinstance(value, bool):
+        raise TypeError(f"{type(value).__name__} in place of true or false")
+    return value
+
+
+def expect_list(value: object) -> list:
+    """Return a value that must be a list.
+
+    :raises TypeError: when it is not.
+    """
+    if not isinstance(value, list):
+        raise TypeError(f"{type(value).__name__} in place of a list")
+    return value
+
+
+def _expect_number(value: object, highest: float) -> float:
+    """Return a value that must be a finite number from 0.
+
+    :raises TypeError: when it is no number.
+    :raises ValueError: when it is out of bounds.
+    """
+    if type(value) not in (int, float):
+        raise TypeError(f"{type(value).__name__} in place of a number")
+    number: Any = value
+    # False for a value that is not a number (NaN), too.
+    if not 0 <= number <= highest:
+        raise ValueError(f"a number that is not 0 to {highest}")
+    return float(number)
+
+
+def _expect_duration(value: object) -> float:
+    """Return a duration in seconds that was written in milliseconds."""
+    return _expect_number(value, MAX_DURATION_MS) * SECONDS_PER_MS
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -10,6 +10,8 @@
 METRICS_VARIABLE = "VANILLADRUM_METRICS_PORT"
 DEFAULT_PATH = "/etc/vanilladrum/settings.conf"
 SECONDS_PER_MS = 0.001
+# Largest number in the settings; a duration of 11 days in milliseconds.
+MAX_NUMBER = 1e9
 
 
 class NodeSettings:
@@ -88,7 +90,7 @@
     # All endpoints of a machine share one IP address, and the port range for
     # traffic between entry hosts is the same on every machine. The first port
     # of the range is used.
-    port = reader.integer("internal-ports", part=0)
+    port = reader.port("internal-ports", part=0)
     return NodeSettings(
         name=reader.text("node-name"),
         data_centre=reader.text("zone"),
@@ -177,29 +179,40 @@
         parts = self.optional(key).split(",")
         return [self._parse(key, part) for part in parts if part]
 
-    def integer(self, key: str, part: int) -> int:
-        """Return one of several integers that are separated by commas.
+    def port(self, key: str, part: int) -> int:
+        """Return one of several ports that are separated by commas.
 
-        :param part: index of the integer.
+        :param part: index of the port.
         """
         parts = self.text(key).split(",")
         try:
-            return int(parts[part])
+            port = int(parts[part])
         except (ValueError, IndexError) as error:
             raise self._settings_error(
-                key, f"is {self.text(key)!r}; use integers separated by commas"
+                key, f"is {self.text(key)!r}; use ports separated by commas"
             ) from error
+        if not 0 < port <= addresses.MAX_PORT:
+            raise self._settings_error(
+                key, f"has port {port}; use 1 to {addresses.MAX_PORT}"
+            )
+        return port
 
     def number(self, key: str, default: float) -> float:
         value = self.optional(key)
         if not value:
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError as error:
             raise self._settings_error(
                 key, f"is {value!r}; use a number"
             ) from error
+        # False for a value that is not a number (NaN), too.
+        if not 0 <= number <= MAX_NUMBER:
+            raise self._settings_error(
+                key, f"is {value}; use a number from 0 to {MAX_NUMBER:.0f}"
+            )
+        return number
 
     def _parse(self, key: str, text: str) -> addresses.Address:
         try:
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 from typing import Any
+from urllib import parse
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
@@ -32,6 +33,8 @@
     :param listed: the objects, as attribute ``objects``.
     :param revision: store revision at the first page of the list.
     :param era: number of restores of the store at all pages.
+    :param unnamed: number of objects that are left out, because their name
+        or revision cannot be read.
     """
 
     def __init__(
@@ -39,10 +42,12 @@
         listed: tuple[objects.StoredObject, ...],
         revision: int,
         era: int = 0,
+        unnamed: int = 0,
     ) -> None:
         self.objects = listed
         self.revision = revision
         self.era = era
+        self.unnamed = unnamed
 
     @property
     def position(self) -> positions.StorePosition:
@@ -56,6 +61,8 @@
     :param changed: the objects, as attribute ``objects``.
     :param revision: store revision from which the next watch starts.
     :param era: number of restores of the store.
+    :param unnamed: number of changes that are left out, because the name or
+        the revision of the object cannot be read.
     """
 
     def __init__(
@@ -63,10 +70,12 @@
         changed: tuple[objects.StoredObject, ...],
         revision: int,
         era: int = 0,
+        unnamed: int = 0,
     ) -> None:
         self.objects = changed
         self.revision = revision
         self.era = era
+        self.unnamed = unnamed
 
     @property
     def position(self) -> positions.StorePosition:
@@ -156,11 +165,10 @@
         """
 
         def read(document: dict, era: int) -> Changes:
-            events = tuple(
-                objects.parse_object(each["object"], each["deleted"], era)
-                for each in document["events"]
-            )
-            return Changes(events, _revision(document), era)
+            events = objects.expect_list(document["events"])
+            changed = objects.parse_readable(objects.parse_event, events, era)
+            unnamed = len(events) - len(changed)
+            return Changes(changed, _revision(document), era, unnamed)
 
         path = f"/{kind}?watch={position.revision}&wait-ms={int(wait * 1000)}"
         if self.is_mirror:
@@ -208,12 +216,11 @@
         done: connections.Done,
     ) -> None:
         def read(document: dict, era: int) -> tuple[Listing, bool]:
-            page = tuple(
-                objects.parse_object(each, era=era)
-                for each in document["items"]
-            )
-            listing = Listing(page, _revision(document), era)
-            return listing, document["has-more"]
+            items = objects.expect_list(document["items"])
+            page = objects.parse_readable(objects.parse_object, items, era)
+            unnamed = len(items) - len(page)
+            listing = Listing(page, _revision(document), era, unnamed)
+            return listing, objects.expect_bool(document["has-more"])
 
         def next_page(outcome: Any) -> None:
             if isinstance(outcome, errors.PlatformError):
@@ -224,13 +231,16 @@
                 done(_restored_error(kind))
                 return
             collected = _append_page(previous, page)
-            if more and page.objects:
-                last_name = page.objects[-1].name
-                self._list_page(kind, last_name, collected, done)
+            if not more:
+                done(collected)
                 return
-            done(collected)
+            if not page.objects:
+                done(_no_next_page_error(kind, after))
+                return
+            last_name = page.objects[-1].name
+            self._list_page(kind, last_name, collected, done)
 
-        query = f"?after={after}" if after else ""
+        query = f"?after={parse.quote(after, safe='')}" if after else ""
         self._call("GET", f"/{kind}{query}", read, next_page)
 
     def _call(
@@ -333,6 +343,13 @@
     )
 
 
+def _no_next_page_error(kind: str, after: str) -> errors.PlatformError:
+    return errors.PlatformError(
+        f"the store has more {kind} after {after!r}, but no name on that page "
+        "can be read; remove the objects there"
+    )
+
+
 def _append_page(previous: Listing | None, page: Listing) -> Listing:
     """Return a listing with one more page.
 
@@ -341,9 +358,14 @@
     if previous is None:
         return page
     return Listing(
-        previous.objects + page.objects, previous.revision, previous.era
+        previous.objects + page.objects,
+        previous.revision,
+        previous.era,
+        previous.unnamed + page.unnamed,
     )
 
 
 def _revision(document: dict) -> int:
-    return objects.expect_int(document["store-revision"])
+    return objects.expect_int(
+        document["store-revision"], 0, objects.MAX_INTEGER
+    )
