Require the fields of a server's entry that the platform lists

Cause: `sequence` and `warmup-left-ms` were optional and `version` was not read, so the incomplete copy counted as a server, with the real one's identity.

Before the fix: test_entry_without_a_field_names_no_server failed for sequence, version and warmup-left-ms.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -214,6 +214,20 @@
     assert isinstance(read_list(body), errors.PlatformError)
 
 
+# A copy of an entry without its sequence was used as a server, with the
+# identity of the real one, of another service.
+@pytest.mark.parametrize("field", sorted(stored_objects.SERVER_ENTRY))
+def test_entry_without_a_field_names_no_server(field):
+    content = dict(stored_objects.SERVER_ENTRY)
+    del content[field]
+    entry = stored_objects.make_object("i-7f3a91c2", content)
+    if field == "born":
+        assert objects.parse_server(entry).started == 0
+        return
+    with pytest.raises(errors.PlatformError, match="names no server"):
+        objects.parse_server(entry)
+
+
 @given(
     strategies.dictionaries(
         strategies.sampled_from(
@@ -223,6 +237,7 @@
     ),
     strategies.sampled_from((b"", *UNREADABLE.values())),
 )
+@example({"version": None}, b"")
 @test_reported_failures.FUZZ_LIMITS
 def test_any_entry_costs_no_other_one(changed, raw):
     """Entries of any form, among others, in lists, watches and relays."""
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -141,13 +141,17 @@
 def parse_server(entry: StoredObject) -> backends.Backend:
     """Convert the entry that a backend server wrote about itself.
 
+    The platform says: "An entry has `service`, `address`, `zone`, `version`,
+    `max-concurrency`, `state`, `warmup-left-ms` and `sequence`." An entry of
+    another writer may lack some of them; "it names no server to use". Only
+    `born`, the time of the server's start, is not on that list.
+
     :raises PlatformError: when the entry is incomplete or invalid.
     """
     try:
         content = entry.content
-        warm_up_ms = expect_int(
-            content.get("warmup-left-ms", 0), 0, MAX_DURATION_MS
-        )
+        expect_text(content["version"])
+        warm_up_ms = expect_int(content["warmup-left-ms"], 0, MAX_DURATION_MS)
         return backends.Backend(
             name=entry.name,
             wire_id=packet.wire_id(entry.name),
@@ -160,7 +164,7 @@
             state=_SERVER_STATES[expect_text(content["state"])],
             # Remaining warm-up time when the entry was written.
             warm_up=warm_up_ms * SECONDS_PER_MS,
-            sequence=expect_int(content.get("sequence", 0), 0, MAX_INTEGER),
+            sequence=expect_int(content["sequence"], 0, MAX_INTEGER),
         )
     except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
