Ignore SIGHUP until the settings have been read

The entry point ignores it from its first line; nothing has been read then that could be out of date.

Before the fix: test_sighup_before_the_settings_are_read_ends_no_process failed.

--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import time
 
 import pytest
 
@@ -261,6 +262,30 @@
     assert await send_requests(cluster, 50) == 50
 
 
+# The signal ended a process that had not set its handlers yet.
+async def test_sighup_before_the_settings_are_read_ends_no_process(cluster):
+    host = cluster.hosts[0]
+    assert await host.stop() == 0
+    text = host.settings.read_text()
+    host.settings.unlink()
+    os.mkfifo(host.settings)
+    host.start()
+
+    def signal_while_reading():
+        # Opening the pipe waits for the process to open it for reading.
+        with host.settings.open("w") as pipe:
+            host.signal(signal.SIGHUP)
+            time.sleep(0.1)
+            pipe.write(text)
+
+    await asyncio.to_thread(signal_while_reading)
+    host.settings.unlink()
+    host.settings.write_text(text)
+    await asyncio.sleep(1.0)
+    assert host.process.poll() is None
+    assert await send_requests(cluster, 50) == 50
+
+
 async def test_full_output_pipe_loses_no_packet(cluster):
     """Log lines are dropped if the pipe is full; the host never blocks."""
     host = cluster.hosts[0]
--- a/vanilladrum/daemons/entry.py
+++ b/vanilladrum/daemons/entry.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import signal
 import sys
 
 from vanilladrum.core import errors
@@ -18,6 +19,9 @@
 
 def main() -> None:
     """Run an entry host; exit with status 2 if it cannot start."""
+    # By default the signal ends the process. A reload that is requested before
+    # the settings were read has nothing to do.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = node_settings.read(node_settings.path())
         packet_socket = udp.bind(settings.flows)
