Let the older of two servers keep a tag; ignore addresses of unknown services

Two servers whose ids have the same CRC-32 have the same tag. The one that started first now has the tag on every host; the other gets it when the flows of the first one are over.

An entry of another writer with a real server's address and a later start made hosts remove the real server, even if no configuration names its service. Such an entry no longer takes the address.

Before the fix: test_added_server_does_not_take_the_tag_of_an_older_one and test_tag_passes_on_when_the_flows_of_its_server_are_over failed; test_entry_of_an_unknown_service_does_not_remove_a_server was not run there, as it calls a new method.

--- a/tests/test_flowhost.py
+++ b/tests/test_flowhost.py
@@ -193,6 +193,32 @@
     assert names == {first.name}
 
 
+# The first one by name got the tag, so that a server that was added took the
+# packets of flows that were open at the other one, and reset them.
+def test_added_server_does_not_take_the_tag_of_an_older_one():
+    older = flow_factories.make_server(2, started=1000)
+    added = flow_factories.make_server(1, started=2000)
+    added.tag = older.tag
+    for order in ((older, added), (added, older)):
+        host = flow_factories.make_host(list(order))
+        packet = flow_factories.make_packet(tag=older.tag)
+        assert server_of(host.receive(packet, 0.0)) is older
+        assert list(host.directory.pool("bookings").servers) == [older]
+
+
+# A server that has gone keeps its tag while its open flows may send packets;
+# the other one gets it afterwards.
+def test_tag_passes_on_when_the_flows_of_its_server_are_over():
+    older = flow_factories.make_server(2, started=1000)
+    added = flow_factories.make_server(1, started=2000)
+    added.tag = older.tag
+    host = flow_factories.make_host([older, added])
+    host.directory.remove(older.name, 0.0)
+    assert not host.directory.pool("bookings").servers
+    host.tick(host.directory.departed_seconds + 1.0)
+    assert list(host.directory.pool("bookings").servers) == [added]
+
+
 def test_reused_address_ends_the_lapse_of_the_old_server():
     """A server whose entry is missing stays in use until it is removed.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -261,6 +261,25 @@
         digests.encode(host.make_digest(False, False, False, outcome.position))
 
 
+# An entry with a real server's address and a later start made hosts take the
+# real one for stopped, even if its service is named nowhere.
+def test_entry_of_an_unknown_service_does_not_remove_a_server():
+    host = flow_factories.make_host([flow_factories.make_server(1)])
+    host.configure(
+        flow_factories.make_configuration(2, health_paths={"bookings": "/"})
+    )
+    odd = flow_factories.make_server(2, service="unknown", started=9000)
+    odd.address = flow_factories.make_server(1).address
+    host.handle_entry(odd)
+    host.tick(1.0)
+    assert flow_factories.make_server(1).name in host.directory.servers
+    reused = flow_factories.make_server(3, started=9000)
+    reused.address = odd.address
+    host.handle_entry(reused)
+    host.tick(2.0)
+    assert flow_factories.make_server(1).name not in host.directory.servers
+
+
 async def test_odd_entries_cost_no_host_no_start_and_no_change(cluster):
     """All kinds at once, before the hosts start again and while they run."""
     store = cluster.store
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -153,19 +153,22 @@
         self.data_centre_sizes: collections.Counter[str] = (
             collections.Counter()
         )
-        # Servers in use and departed ones by tag, sorted by name. Two servers
-        # may have the same tag. Every host then uses the first one by name;
-        # the other gets no flows, because their packets could not be
-        # distinguished.
+        # Servers in use and departed ones by tag, the one that started first
+        # in front. Two servers may have the same tag. Every host then uses
+        # the older one, which may have open flows; the other gets no flows,
+        # because their packets could not be distinguished.
         self._by_tag: dict[int, list[Backend]] = {}
         # Name of the server that was last listed at each address.
         self._by_address: dict[addresses.Address, str] = {}
 
-    def update(self, server: Backend) -> None:
+    def update(self, server: Backend, takes_address: bool = True) -> None:
         """Add a server, or replace what is stored about it.
 
         Cancels the removal of this server. Schedules that of an older server
         at its address.
+
+        :param takes_address: whether the older server at its address must
+            have stopped. An entry whose service nobody knows is no evidence.
         """
         previous = self.servers.get(server.name)
         self.pending_removal.pop(server.name, None)
@@ -178,9 +181,10 @@
             self._remove_from_indexes(previous)
             self._count(previous, -1)
             self._release_address(previous)
-        self._expire_same_address(server)
         self.servers[server.name] = server
-        self._by_address[server.address] = server.name
+        if takes_address:
+            self._expire_same_address(server)
+            self._by_address[server.address] = server.name
         self._count(server, 1)
         self._add_to_indexes(server)
 
@@ -284,7 +288,9 @@
         same_tag = self._by_tag.setdefault(server.tag, [])
         for each in same_tag:
             self.pool(each.service).discard(each)
-        bisect.insort(same_tag, server, key=lambda each: each.name)
+        bisect.insort(
+            same_tag, server, key=lambda each: (each.started, each.name)
+        )
         self._update_pool(server.tag)
 
     def _remove_from_indexes(self, server: Backend) -> None:
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -233,6 +233,15 @@
             return now + BUSY_TICK_INTERVAL_SECONDS
         return now + IDLE_TICK_INTERVAL_SECONDS
 
+    def handle_entry(self, server: backends.Backend) -> None:
+        """Handle a server's entry in the store, which is new or has changed.
+
+        :param server: the server as described by the entry.
+        """
+        known = self.configuration.health_paths
+        takes_address = not known or server.service in known
+        self.directory.update(server, takes_address)
+
     def handle_removed_entry(self, name: str, now: float) -> None:
         """Handle the removal of a server's entry from the store.
 
--- a/vanilladrum/daemons/server_sync.py
+++ b/vanilladrum/daemons/server_sync.py
@@ -136,7 +136,7 @@
         self._withheld.pop(server.name, None)
         self._entry_order.record(server, entry.era)
         previous = self.core.directory.servers.get(server.name)
-        self.core.directory.update(server)
+        self.core.handle_entry(server)
         if not self.has_servers:
             return
         if previous is None or previous.state is not server.state:
