Soak: short silences, odd entries, routes that move away from full servers

All runs check at the end, when the store is calm, that a leaving server gets no new flow 3 s after its entry.

The odd entries of the tests moved to the stand-ins.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -34,6 +34,18 @@
         return probe.getsockname()[1]
 
 
+def make_route(name: str, target: addresses.Address, service: str) -> dict:
+    """Return a route in the format of the platform."""
+    return {
+        "name": name,
+        "host": target.host,
+        "path-prefix": f"/{target.port}/",
+        "type": "safe",
+        "timeout-ms": 3000,
+        "service": service,
+    }
+
+
 @attrs.define(eq=False)
 class EntryHost:
     """An entry host process.
@@ -103,6 +115,8 @@
         servers, of peers, and of the store.
     :param generation: version of the last configuration.
     :param configuration: the last configuration as written to the store.
+    :param moving_service: service of the route to ``moving_address``, None
+        without that route.
     """
 
     folder: pathlib.Path
@@ -117,6 +131,7 @@
     )
     generation: int = 1
     configuration: dict | None = None
+    moving_service: str | None = None
     router: flow_caller.Router | None = None
     caller: flow_caller.FlowCaller | None = None
     runner: web.AppRunner | None = None
@@ -130,6 +145,11 @@
             for number, name in enumerate(SERVER_COUNTS)
         }
 
+    @property
+    def moving_address(self) -> addresses.Address:
+        """Return the virtual address of the route that moves."""
+        return addresses.Address("198.18.0.1", 8100)
+
     async def start(self) -> None:
         """Start all parts and wait until the entry hosts are ready."""
         self.runner = web.AppRunner(
@@ -187,26 +207,25 @@
         await self.store.put("servers", server.name, server.store_entry())
         return server
 
-    async def write_configuration(self, **changed: str) -> None:
+    async def write_configuration(self, **changed: str) -> int:
         """Write the next version of the configuration to the store.
 
         :param changed: service by the name of the route that leads to it;
             any other route leads to the service of the same name.
+        :returns: the version.
         """
         self.generation += 1
+        generation = self.generation
         routes = [
-            {
-                "name": name,
-                "host": target.host,
-                "path-prefix": f"/{target.port}/",
-                "type": "safe",
-                "timeout-ms": 3000,
-                "service": changed.get(name, name),
-            }
+            make_route(name, target, changed.get(name, name))
             for name, target in self.service_addresses.items()
         ]
+        if self.moving_service is not None:
+            routes.append(
+                make_route("moving", self.moving_address, self.moving_service)
+            )
         spec = {
-            "version": self.generation,
+            "version": generation,
             "routes": routes,
             "services": [
                 {"name": name, "health-check-path": "/health"}
@@ -216,6 +235,7 @@
         }
         self.configuration = spec
         await self.store.put("config", "main", spec)
+        return generation
 
     async def write_again(self) -> None:
         """Write what a restore of the store has lost."""
--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -1,11 +1,13 @@
 """Soak test that injects random faults into a cluster of entry hosts.
 
-Usage: python -m examples.flow_soak [SEED] [SECONDS] [restores] [HOSTS]
+Usage: python -m examples.flow_soak [SEED] [SECONDS] [restores|odd] [HOSTS]
 
 Signals, store outages, packet loss and silent or draining servers follow each
 other and overlap while callers send requests. With the argument ``restores``
-the store is also restored from copies. Prints the seed and the outcomes as
-JSON, and keeps the logs of the hosts if a guarantee was violated.
+the store is also restored from copies, with ``odd`` it is silent for less than
+a second, other programs write odd entries and routes move away from full
+servers. Prints the seed and the outcomes as JSON, and keeps the logs of the
+hosts if a guarantee was violated.
 The exit code is 1 when a guarantee was violated.
 """
 
@@ -22,6 +24,7 @@
 import attrs
 
 from examples import flow_cluster
+from examples import odd_faults
 from vanilladrum.standins import flow_caller
 from vanilladrum.standins import object_store
 
@@ -34,7 +37,10 @@
 # request; hosts stop and the store is restored meanwhile.
 LONG_FLOW_INTERVAL = 4
 MAX_PAUSE_SECONDS = 5
+# Time in which a leaving server may get new flows, and for which the check
+# that it gets no more lasts.
 DRAIN_SECONDS = 3.0
+DRAIN_CHECK_SECONDS = 1.0
 MAX_FAULT_SECONDS = 3.0
 # Time after the last fault in which the last configuration has to be in force
 # on all hosts.
@@ -51,6 +57,8 @@
 # Faults of runs with restores only: the seeds of other runs select from FAULTS
 # by sorted name.
 RESTORE_FAULTS = {}
+# Faults that are added to FAULTS, by mode.
+FURTHER_FAULTS = {"restores": RESTORE_FAULTS, "odd": odd_faults.ODD_FAULTS}
 
 
 def fault(action):
@@ -78,6 +86,7 @@
     :param recovering: whether the last fault has ended.
     :param stopping: whether no further request is sent.
     :param recovery: outcomes of the requests that began while ``recovering``.
+    :param route_moves: whether a fault moves a route now.
     """
 
     cluster: flow_cluster.FlowCluster
@@ -90,6 +99,7 @@
     recovering: bool = False
     stopping: bool = False
     recovery: collections.Counter = attrs.field(factory=collections.Counter)
+    route_moves: bool = False
 
     async def run(self, seconds: float) -> dict:
         """Inject faults, then check the guarantees and the recovery.
@@ -110,6 +120,7 @@
         self.recovering = True
         await asyncio.sleep(STABLE_SECONDS)
         self._check_configuration()
+        await self._check_drain()
         await asyncio.sleep(RECOVERY_SECONDS - STABLE_SECONDS)
         self.stopping = True
         await requests
@@ -141,14 +152,33 @@
     def _check_configuration(self) -> None:
         """Check that the last configuration is in force on all hosts."""
         for host in self.cluster.hosts:
-            adopted = host.logged_events("configuration adopted")
-            generation = adopted[-1]["offered"] if adopted else None
+            generation = self.generation_of(host)
             if generation != self.cluster.generation:
                 self.violations.append(
                     f"host {host.number} is at generation {generation} of "
                     f"{self.cluster.generation}"
                 )
 
+    async def _check_drain(self) -> None:
+        """Check that a leaving server gets no new flow after the limit."""
+        server = self.rng.choice(self.cluster.servers)
+        server.draining = True
+        store = self.cluster.store
+        await store.put("servers", server.name, server.store_entry())
+        await asyncio.sleep(DRAIN_SECONDS)
+        server.flows_opened_while_draining = 0
+        await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        if server.flows_opened_while_draining:
+            self.violations.append(
+                f"{server.flows_opened_while_draining} flows were opened at "
+                f"{server.name} more than {DRAIN_SECONDS} s after it drained"
+            )
+
+    def generation_of(self, host: flow_cluster.EntryHost) -> int:
+        """Return the generation that a host has logged last, 0 for none."""
+        adopted = host.logged_events("configuration adopted")
+        return adopted[-1]["offered"] if adopted else 0
+
     def _check(self) -> None:
         outcomes = self.cluster.caller.outcomes
         for outcome in (FlowOutcome.WRONG, FlowOutcome.RESET_WHILE_OPEN):
@@ -322,16 +352,17 @@
     seed: int,
     seconds: float,
     folder: pathlib.Path,
-    restores: bool = False,
+    mode: str = "",
     host_count: int = DEFAULT_HOSTS,
 ) -> dict:
     """Run the soak test with a seed and return the report.
 
-    :param restores: whether the store is also restored from copies.
+    :param mode: ``restores`` or ``odd`` for their further faults; otherwise
+        empty.
     :param host_count: number of entry hosts; above 12 they exchange digests
         and follow each other as in a large fleet.
     """
-    faults = {**FAULTS, **RESTORE_FAULTS} if restores else FAULTS
+    faults = {**FAULTS, **FURTHER_FAULTS.get(mode, {})}
     cluster = flow_cluster.FlowCluster(folder, host_count)
     try:
         await cluster.start()
@@ -345,11 +376,13 @@
     """Run the soak test; return 1 if a guarantee was violated, else 0."""
     seed = int(sys.argv[1]) if len(sys.argv) > 1 else random.getrandbits(31)
     seconds = float(sys.argv[2]) if len(sys.argv) > 2 else DEFAULT_SECONDS
-    restores = "restores" in sys.argv[3:]
+    modes = [each for each in sys.argv[3:] if each in FURTHER_FAULTS]
     counts = [int(each) for each in sys.argv[3:] if each.isdecimal()]
     host_count = counts[0] if counts else DEFAULT_HOSTS
     folder = pathlib.Path(tempfile.mkdtemp(prefix="flow-soak-"))
-    report = asyncio.run(soak(seed, seconds, folder, restores, host_count))
+    report = asyncio.run(
+        soak(seed, seconds, folder, "".join(modes[:1]), host_count)
+    )
     print(json.dumps(report))
     if report["broken"]:
         print(f"the logs of the hosts are in {folder}", file=sys.stderr)
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -19,6 +19,10 @@
     1: "the first seed",
     502: "all hosts missed the change at a revision that was given out again",
 }
+# The same of runs with short silences, odd entries and routes that move.
+ODD_SEEDS = {
+    1: "the first seed",
+}
 SECONDS = 8.0
 
 
@@ -32,7 +36,16 @@
 # No soak restored the store, so no host met an earlier revision.
 @pytest.mark.parametrize("seed", RESTORE_SEEDS)
 async def test_guarantees_hold_while_the_store_is_restored(seed, tmp_path):
-    report = await flow_soak.soak(seed, SECONDS, tmp_path, restores=True)
+    report = await flow_soak.soak(seed, SECONDS, tmp_path, "restores")
+    assert report["broken"] == [], report
+    assert report["faults"] >= 5
+
+
+# No soak had silences shorter than a ping, entries of other writers, or full
+# servers while a route moved.
+@pytest.mark.parametrize("seed", ODD_SEEDS)
+async def test_guarantees_hold_with_odd_entries_and_silences(seed, tmp_path):
+    report = await flow_soak.soak(seed, SECONDS, tmp_path, "odd")
     assert report["broken"] == [], report
     assert report["faults"] >= 5
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -18,6 +18,7 @@
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
+from vanilladrum.standins import odd_entries
 from vanilladrum.wire import digests
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
@@ -25,44 +26,6 @@
 GOOD = json.dumps(stored_objects.SERVER_ENTRY).encode()
 
 
-def with_zone(zone):
-    """Return a specification that is complete but for its zone.
-
-    :param zone: the zone, encoded.
-    """
-    marker = b'"zone": "bilbao"'
-    assert marker in GOOD
-    return GOOD.replace(marker, b'"zone": ' + zone)
-
-
-# Specifications that cannot be decoded, each of which made an answer
-# unreadable, and what they did.
-UNREADABLE = {
-    "nested": with_zone(b"[" * 20_000 + b"]" * 20_000),
-    "objects": with_zone(b'{"a":' * 3_000 + b"1" + b"}" * 3_000),
-    "bytes": with_zone(b'"Gij\xf3n"'),
-    "digits": with_zone(b"9" * 5_000),
-    "extra": GOOD[:-1] + b', "note": "\xff"}',
-}
-# Specifications that can be decoded and name no server.
-ODD = {
-    "slots of 400 digits": GOOD.replace(
-        b'"max-concurrency": 2', b'"max-concurrency": ' + b"9" * 400
-    ),
-    "lone surrogate": with_zone(b'"Gij\\udcf3n"'),
-    "almost too deep": with_zone(b"[" * 900 + b"]" * 900),
-    "port 70000": GOOD.replace(b":8080", b":70000"),
-    "port 0": GOOD.replace(b":8080", b":0"),
-    "infinite warm-up": GOOD.replace(
-        b'"warmup-left-ms": 1500', b'"warmup-left-ms": 1e999'
-    ),
-    "negative sequence": GOOD.replace(b'"sequence": 4', b'"sequence": -4'),
-    "null": b"null",
-    "array": b"[]",
-}
-ALL = UNREADABLE | ODD
-
-
 def encode_object(name, spec, revision=3):
     """Return an object as the store sends it.
 
@@ -169,15 +132,15 @@
 
 # One entry made the whole answer of the store unreadable, so that all changes
 # of servers were lost and no host could start.
-@pytest.mark.parametrize("kind", UNREADABLE)
+@pytest.mark.parametrize("kind", odd_entries.UNREADABLE)
 def test_unreadable_entry_costs_no_other(kind):
-    assert_only_good_servers(UNREADABLE[kind])
+    assert_only_good_servers(odd_entries.UNREADABLE[kind])
 
 
 # Such an entry was taken for a server, or made each choice or tick fail.
-@pytest.mark.parametrize("kind", ODD)
+@pytest.mark.parametrize("kind", odd_entries.REFUSED)
 def test_entry_with_a_value_out_of_bounds_names_no_server(kind):
-    assert_only_good_servers(ODD[kind])
+    assert_only_good_servers(odd_entries.REFUSED[kind])
 
 
 @pytest.mark.parametrize(
@@ -235,7 +198,7 @@
         ),
         test_reported_failures.JSON_VALUES,
     ),
-    strategies.sampled_from((b"", *UNREADABLE.values())),
+    strategies.sampled_from((b"", *odd_entries.UNREADABLE.values())),
 )
 @example({"version": None}, b"")
 @test_reported_failures.FUZZ_LIMITS
@@ -283,7 +246,7 @@
 async def test_odd_entries_cost_no_host_no_start_and_no_change(cluster):
     """All kinds at once, before the hosts start again and while they run."""
     store = cluster.store
-    for number, spec in enumerate(ALL.values()):
+    for number, spec in enumerate(odd_entries.ALL.values()):
         await store.put_raw("servers", f"i-{number + 4096:08x}", spec)
     await asyncio.sleep(1.0)
     assert await test_flow_processes.send_requests(cluster, 200) == 200
--- a/vanilladrum/standins/flow_caller.py
+++ b/vanilladrum/standins/flow_caller.py
@@ -169,6 +169,22 @@
             self.failures.append(f"{request_id} {source} {outcome.value}")
         return outcome
 
+    async def open_flow(
+        self, target: addresses.Address
+    ) -> flow_packets.Segment | FlowOutcome:
+        """Open a flow and send nothing on it; it counts in no outcome.
+
+        :returns: the server's answer, or why there was none.
+        """
+        self.next_port = FIRST_PORT + (self.next_port + 1) % PORT_COUNT
+        source = addresses.Address(self.address.host, self.next_port)
+        queue: asyncio.Queue = asyncio.Queue()
+        self.queues[target, source] = queue
+        try:
+            return await self._open(source, target, queue)
+        finally:
+            del self.queues[target, source]
+
     async def _exchange(
         self,
         source: addresses.Address,
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -24,11 +24,15 @@
     :param callers_port: port at which callers receive packets.
     :param service_seconds: service time of a request.
     :param silent: whether it ignores all packets.
+    :param full: whether it takes no new flow, as if it held all it can; it
+        then sends nothing.
     :param draining: whether its store entry says that it is draining.
     :param entries_written: number of entries that it wrote to the store.
     :param executed_ids: ids of the executed requests.
     :param flows_opened_while_draining: number of flows opened while
         draining.
+    :param last_opened: when the last flow was opened, by service address, in
+        seconds of the event loop.
     :param corrupted_packets: number of packets with a wrong checksum.
     :param flows: state of each flow by caller and service address.
     """
@@ -40,10 +44,12 @@
     callers_port: int
     service_seconds: float = 0.005
     silent: bool = False
+    full: bool = False
     draining: bool = False
     entries_written: int = 0
     executed_ids: list[str] = attrs.field(factory=list)
     flows_opened_while_draining: int = 0
+    last_opened: dict[addresses.Address, float] = attrs.field(factory=dict)
     corrupted_packets: int = 0
     flows: dict[tuple, dict] = attrs.field(factory=dict)
     endpoint: sockets.Endpoint = attrs.field(init=False)
@@ -108,6 +114,11 @@
 
     def _open(self, key: tuple, segment: flow_packets.Segment) -> None:
         if key not in self.flows:
+            if self.full:
+                return
+            self.last_opened[segment.target] = (
+                asyncio.get_running_loop().time()
+            )
             self.flows_opened_while_draining += self.draining
             self.flows[key] = {
                 "sequence": random.getrandbits(32),
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -70,6 +70,7 @@
         responses to watches.
     :param raw_specs: bytes that take the place of a specification in answers,
         by the encoded marker that is stored instead of it.
+    :param dropped_watches: how often the waiting watches were lost.
     :param waiting: number of watches that wait for a change now, by kind.
     """
 
@@ -83,6 +84,7 @@
     injected_fault: InjectedFault = InjectedFault.NONE
     rejected_hosts: frozenset[str] = frozenset()
     calls: collections.Counter = attrs.field(factory=collections.Counter)
+    dropped_watches: int = 0
     raw_specs: dict[bytes, bytes] = attrs.field(factory=dict)
     waiting: collections.Counter = attrs.field(factory=collections.Counter)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
@@ -100,6 +102,12 @@
         self.raw_specs[json.dumps(marker).encode()] = spec
         await self.put(kind, name, marker)
 
+    async def drop_watches(self) -> None:
+        """Lose the watches that wait now; they are never answered."""
+        self.dropped_watches += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object.
 
@@ -203,16 +211,20 @@
         kind = request.match_info["kind"]
         if not self.history_start <= since <= self.revision:
             raise web.HTTPGone(text="{}")
-        era = self.era
+        era, dropped = self.era, self.dropped_watches
         self.waiting[kind] += 1
         try:
             async with asyncio.timeout(wait), self.changed:
                 while era == self.era and not self._events(kind, since):
                     await self.changed.wait()
+                    if dropped != self.dropped_watches:
+                        break
         except TimeoutError:
             pass
         finally:
             self.waiting[kind] -= 1
+        if dropped != self.dropped_watches:
+            await asyncio.Event().wait()
         if era != self.era:
             _abort(request)
         await self._inject_fault(request, "answer")
