Move what flowhost.py had outgrown to the modules that it belongs to

UnansweredAttempt goes to flowtable, the number of a data centre to digest, the choice among samples of a pool to the balancer. Nothing else is changed.

--- a/vanilladrum/core/balance.py
+++ b/vanilladrum/core/balance.py
@@ -13,6 +13,8 @@
 REMOTE_LOAD_SHARE = 0.95
 # Fraction of a server's slots that is counted during its warm-up.
 WARM_UP_SHARE = 0.6
+# Samples of servers that are drawn, at most, to find a healthy one.
+MAX_SAMPLES = 3
 # Load-balancing policy, as registered in vanilladrum.core.policy.
 POLICY = "least_busy"
 
@@ -78,6 +80,30 @@
         candidates = [self._candidate(each, now) for each in eligible]
         return self.policy(candidates, self.rng).server
 
+    def choose_from_pool(
+        self,
+        pool: backends.ServerPool,
+        now: float,
+        excluded: backends.Backend | None = None,
+    ) -> backends.Backend | None:
+        """Return the server of a service for a new flow, None without any.
+
+        If no server of a sample is healthy, further samples are drawn.
+
+        :param pool: servers of the service that accept new flows.
+        :param now: monotonic seconds.
+        :param excluded: see :meth:`choose`.
+        """
+        candidates: list[backends.Backend] = []
+        for _ in range(MAX_SAMPLES):
+            candidates += pool.candidates(self.data_centre, self.rng)
+            best = self.best_status(candidates, now)
+            if best is failure_detectors.HealthStatus.GOOD:
+                break
+            if len(candidates) >= len(pool.servers):
+                break
+        return self.choose(candidates, now, excluded)
+
     def best_status(
         self, servers: list[backends.Backend], now: float
     ) -> failure_detectors.HealthStatus | None:
--- a/vanilladrum/core/digest.py
+++ b/vanilladrum/core/digest.py
@@ -1,5 +1,7 @@
 """State that entry hosts tell each other, and how often they do."""
 
+import zlib
+
 from vanilladrum.core import address as addresses
 from vanilladrum.core import position as positions
 
@@ -8,6 +10,11 @@
 SMALL_FLEET_MAX_HOSTS = 12
 
 
+def data_centre_id(data_centre: str) -> int:
+    """Return the number that identifies a data centre in digests."""
+    return zlib.crc32(data_centre.encode())
+
+
 class DigestTiming:
     """Intervals, fan-out and validity of digests; times are in seconds.
 
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -7,7 +7,6 @@
 
 import collections
 import random
-import zlib
 
 from vanilladrum.core import backend as backends
 from vanilladrum.core import balance
@@ -30,8 +29,6 @@
 # A longer interval between two ticks, in seconds, means that this process was
 # suspended or starved of CPU.
 PROCESS_PAUSE_SECONDS = 0.35
-# Samples of servers that are drawn, at most, to find a healthy one.
-MAX_SAMPLES = 3
 # Load of an open flow that carries no request now, as a fraction of a
 # request: callers with long flows pause between requests.
 IDLE_FLOW_LOAD = 0.03
@@ -41,34 +38,6 @@
 REMOVAL_DELAY_SECONDS = 0.3
 
 
-def data_centre_id(data_centre: str) -> int:
-    """Return the number that identifies a data centre in digests."""
-    return zlib.crc32(data_centre.encode())
-
-
-class UnansweredAttempt:
-    """A first packet that was not answered within the time limit.
-
-    :param key: source and destination address and port of the flow.
-    :param server: the server that the packet was sent to.
-    :param waited: seconds since the packet was sent.
-    :param caused_ejection: whether this attempt caused the ejection of the
-        server.
-    """
-
-    def __init__(
-        self,
-        key: bytes,
-        server: backends.Backend,
-        waited: float,
-        caused_ejection: bool,
-    ) -> None:
-        self.key = key
-        self.server = server
-        self.waited = waited
-        self.caused_ejection = caused_ejection
-
-
 class FlowHost:
     """Decides where packets go, without doing I/O or reading a clock.
 
@@ -162,7 +131,7 @@
 
     def tick(
         self, now: float, input_read: bool = True
-    ) -> list[UnansweredAttempt]:
+    ) -> list[flowtable.UnansweredAttempt]:
         """Detect unanswered first packets and remove expired state.
 
         :param now: monotonic seconds.
@@ -175,7 +144,7 @@
             # answers are no sign of a failed server.
             self.table.clear_unanswered()
         self.last_tick = now
-        attempts: list[UnansweredAttempt] = []
+        attempts: list[flowtable.UnansweredAttempt] = []
 
         def find_unanswered() -> None:
             if input_read:
@@ -202,7 +171,9 @@
             self.failure_detector.remove(server)
             self.speed_estimator.remove(server)
 
-    def _find_unanswered(self, now: float) -> list[UnansweredAttempt]:
+    def _find_unanswered(
+        self, now: float
+    ) -> list[flowtable.UnansweredAttempt]:
         """Record the first packets that were not answered in time."""
         attempts = []
         timeout = self.failure_detector.round_trip.timeout()
@@ -213,7 +184,7 @@
             self.counters["silent_attempts"] += 1
             self.counters["ejections"] += caused_ejection
             attempts.append(
-                UnansweredAttempt(
+                flowtable.UnansweredAttempt(
                     flow.key, server, now - sent, caused_ejection
                 )
             )
@@ -305,7 +276,7 @@
             centre
             for centre in self.directory.data_centres()
             if centre != self.data_centre
-            and self.neighbours.is_silent(data_centre_id(centre), now)
+            and self.neighbours.is_silent(digests.data_centre_id(centre), now)
         }
 
     def _decide_without_route(self, packet: flows.Packet) -> flows.Decision:
@@ -351,20 +322,9 @@
         now: float,
         excluded: backends.Backend | None = None,
     ) -> backends.Backend | None:
-        """Return the server for a new flow, None if the service has none.
-
-        If no server of a sample is healthy, further samples are drawn.
-        """
+        """Return the server for a new flow, None if the service has none."""
         pool = self.directory.pool(service)
-        candidates: list[backends.Backend] = []
-        for _ in range(MAX_SAMPLES):
-            candidates += pool.candidates(self.data_centre, self.rng)
-            best = self.balancer.best_status(candidates, now)
-            if best is failure_detector.HealthStatus.GOOD:
-                break
-            if len(candidates) >= len(pool.servers):
-                break
-        return self.balancer.choose(candidates, now, excluded)
+        return self.balancer.choose_from_pool(pool, now, excluded)
 
     def _server_for_copy(
         self,
--- a/vanilladrum/core/flowtable.py
+++ b/vanilladrum/core/flowtable.py
@@ -106,6 +106,29 @@
     return 0 < (sequence - known) & _SEQUENCE_MASK < _NEWER_BELOW
 
 
+class UnansweredAttempt:
+    """A first packet that was not answered within the time limit.
+
+    :param key: source and destination address and port of the flow.
+    :param server: the server that the packet was sent to.
+    :param waited: seconds since the packet was sent.
+    :param caused_ejection: whether this attempt caused the ejection of the
+        server.
+    """
+
+    def __init__(
+        self,
+        key: bytes,
+        server: backends.Backend,
+        waited: float,
+        caused_ejection: bool,
+    ) -> None:
+        self.key = key
+        self.server = server
+        self.waited = waited
+        self.caused_ejection = caused_ejection
+
+
 class FlowTable:
     """Flows by key, with the number of flows of each server.
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -9,8 +9,10 @@
 import signal
 import socket
 
+from vanilladrum.core import digest
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
+from vanilladrum.core import flowtable
 from vanilladrum.core import neighbours
 from vanilladrum.core import periodic
 from vanilladrum.daemons import digest_exchange
@@ -259,7 +261,7 @@
             self._tick()
 
     def _log_unanswered_attempt(
-        self, attempt: flowhost.UnansweredAttempt
+        self, attempt: flowtable.UnansweredAttempt
     ) -> None:
         limit = self.core.failure_detector.round_trip.timeout()
         self.log.event(
@@ -329,7 +331,7 @@
     rng = random.Random()
     neighbour_table = neighbours.Neighbours(
         settings.peer,
-        flowhost.data_centre_id(settings.data_centre),
+        digest.data_centre_id(settings.data_centre),
         rng,
         settings.seeds,
     )
