Do not send a watch again while its answer is arriving

A list that takes longer than the tolerated lag on a slow link would have been begun anew once when another host reported a newer position meanwhile. Found by reading; test_answer_that_is_arriving_is_not_renewed failed before.

Route.has_service, which ignored weights and had no caller left, is gone.

--- a/tests/test_flowhost.py
+++ b/tests/test_flowhost.py
@@ -149,7 +149,7 @@
     assert not host.configure(flow_factories.make_configuration(4, "patterns"))
     assert host.configuration.generation == 5
     route = host.configuration.routes[flow_factories.BOOKINGS.pack()]
-    assert route.has_service("bookings")
+    assert route.services == {"bookings"}
 
 
 def test_new_configuration_does_not_move_open_flows():
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -142,6 +142,17 @@
     assert len(sent) == 2
 
 
+# A large list that takes long on a slow link was begun anew.
+def test_answer_that_is_arriving_is_not_renewed(watching_host):
+    selector, list_watcher, sent = watching_host
+    now = selector.loop.now()
+    late = now + 0.2 + source_selectors.MAX_LAG_SECONDS
+    list_watcher.is_receiving = lambda: True
+    report_position(selector, 2, 6, now + 0.1)
+    report_position(selector, 3, 6, late)
+    assert len(sent) == 1
+
+
 # A host that waits for more changes before its next watch has lost nothing.
 def test_host_between_two_watches_does_not_renew(watching_host):
     selector, list_watcher, sent = watching_host
--- a/vanilladrum/core/neighbours.py
+++ b/vanilladrum/core/neighbours.py
@@ -351,11 +351,11 @@
             else:
                 # Not retried: others of its data centre send digests.
                 self._silent_since[host] = neighbour.last_digest_at
-            if neighbour.digest and self._is_newest(neighbour.digest):
+            if neighbour.digest and self._has_newest(neighbour.digest):
                 self._recompute_newest()
 
-    def _is_newest(self, digest: digests.Digest) -> bool:
-        """Return whether no valid digest reports anything newer."""
+    def _has_newest(self, digest: digests.Digest) -> bool:
+        """Return whether the newest generation or position may be from it."""
         return (
             digest.generation >= self.newest_generation
             or digest.position >= self.newest_position
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -44,10 +44,6 @@
         """Return all services of the route, whatever their weight."""
         return frozenset(share.service for share in self.shares)
 
-    def has_service(self, service: str) -> bool:
-        """Return whether the route has a service, whatever its weight."""
-        return service in self.services
-
     def gives_new_flows(self, service: str) -> bool:
         """Return whether new flows may be sent to a service.
 
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -357,6 +357,8 @@
                 continue
             if list_watcher.sent_at >= self._server_lag_start:
                 continue
+            if list_watcher.is_receiving():
+                continue
             self.store_monitor.log.event(
                 "watch renewed",
                 waited=round(now - list_watcher.sent_at, 3),
