Correct two tests of renewed watches that could not fail

In both, the lag began before the watch was sent, so that nothing would have been renewed in any case.

--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -148,8 +148,9 @@
     now = selector.loop.now()
     late = now + 0.2 + source_selectors.MAX_LAG_SECONDS
     list_watcher.is_receiving = lambda: True
-    report_position(selector, 2, 6, now + 0.1)
-    report_position(selector, 3, 6, late)
+    report_position(selector, 2, 5, now)
+    report_position(selector, 3, 6, now + 0.1)
+    report_position(selector, 4, 6, late)
     assert len(sent) == 1
 
 
@@ -159,8 +160,9 @@
     list_watcher._on_answer(stores.Changes((), 5))
     now = selector.loop.now()
     late = now + 0.2 + source_selectors.MAX_LAG_SECONDS
-    report_position(selector, 2, 6, now + 0.1)
-    report_position(selector, 3, 6, late)
+    report_position(selector, 2, 5, now)
+    report_position(selector, 3, 6, now + 0.1)
+    report_position(selector, 4, 6, late)
     assert len(sent) == 1
 
 
