Request mode: notice lost watches within 6 s, refuse odd responses

A watch of the configuration whose response was lost was noticed after 32 s. A response without the fields of an object, or one that cannot be decoded, ended the task that watches for configurations, since only errors of the package are retried there.

--- a/vanilladrum/wire/platform.py
+++ b/vanilladrum/wire/platform.py
@@ -9,8 +9,10 @@
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 
-# Longest time for which the platform delays the response to a watch request.
-WATCH_SECONDS = 30.0
+# Longest time for which the platform delays the response to a watch request. A
+# watch whose response was lost is noticed after it and the timeout of a call,
+# so both together stay below the 8 s in which a change has to be in force.
+WATCH_SECONDS = 4.0
 
 
 @attrs.frozen
@@ -90,7 +92,7 @@
                 f"platform answered status {status} to an update of "
                 f"{kind}/{name}; {body.get('error', 'try again later')}"
             )
-        return body["version"]
+        return self._field(body, "version", int)
 
     async def hosts(self) -> list[addresses.Address]:
         """Return the peer endpoints of the entry hosts listed by the platform.
@@ -104,7 +106,8 @@
             raise errors.PlatformError(
                 f"platform answered status {status}; try again later"
             )
-        return [addresses.parse(text) for text in body["hosts"]]
+        listed = self._field(body, "hosts", list)
+        return [addresses.parse(str(text)) for text in listed]
 
     async def _read(self, path: str, timeout: float) -> StoredObject:
         status, body = await self._call("GET", path, timeout)
@@ -114,7 +117,22 @@
             raise errors.PlatformError(
                 f"platform answered status {status}; try again later"
             )
-        return StoredObject(body["version"], body["value"])
+        return StoredObject(
+            self._field(body, "version", int), self._field(body, "value", dict)
+        )
+
+    def _field(self, body: object, name: str, kind: type) -> typing.Any:
+        """Return a field of a response.
+
+        :raises PlatformError: if the field is missing or of another type.
+        """
+        value = body.get(name) if isinstance(body, dict) else None
+        if type(value) is kind:
+            return value
+        raise errors.PlatformError(
+            f"platform at {self.url} sent a response without a valid "
+            f"{name!r}; check for proxies on the path to it"
+        )
 
     async def _call(
         self, method: str, path: str, timeout: float, **options: typing.Any
@@ -132,7 +150,8 @@
         except (
             TimeoutError,
             aiohttp.ClientError,
-            json.JSONDecodeError,
+            ValueError,
+            RecursionError,
         ) as error:
             raise errors.PlatformError(
                 f"platform at {self.url} did not answer "
