Simulated store: do not count watches that their host has given up

Trace: three seconds after the start host 3 left the store and followed host 2, as it should; the stand-in went on counting the watch that it had closed for up to 2 s, into the time of the test's check.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -153,7 +153,11 @@
     async def start(self) -> None:
         """Start all parts and wait until the entry hosts are ready."""
         self.runner = web.AppRunner(
-            self.store.app(), access_log=None, shutdown_timeout=0.1
+            self.store.app(),
+            access_log=None,
+            shutdown_timeout=0.1,
+            # A watch whose host has closed the connection waits no longer.
+            handler_cancellation=True,
         )
         await self.runner.setup()
         for number in range(1, self.host_count + 1):
