Move the opening of flows out of flowhost.py

FlowOpener in core/selection decides where first packets and their copies go; no behaviour changes. The model's mutants override the opener's methods instead.

--- a/model/flows.py
+++ b/model/flows.py
@@ -405,14 +405,15 @@
     """Chooses a server for every later packet, as for a first one."""
 
     def _forward_later_packet(self, packet, route, now):
-        return self._open_new_flow(packet, route, now)
+        return self.opener.open_new_flow(packet, route, now)
 
 
 class _KeepsCopies(flowhost.FlowHost):
     """Sends copies of a first packet to the same server, active or not."""
 
-    def _server_for_copy(self, flow, packet, route):
-        return flow.server
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.opener.server_for_copy = lambda flow, packet, route: flow.server
 
 
 class _AdoptsAnything(flowhost.FlowHost):
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -19,6 +19,7 @@
 from vanilladrum.core import periodic
 from vanilladrum.core import position as positions
 from vanilladrum.core import routes
+from vanilladrum.core.selection import opener as openers
 from vanilladrum.core import serverstate
 from vanilladrum.core import speed_estimator
 
@@ -80,11 +81,19 @@
             self.load,
             rng,
         )
+        self.counters: collections.Counter = collections.Counter()
+        self.opener = openers.FlowOpener(
+            self.directory,
+            self.table,
+            self.failure_detector,
+            self.balancer,
+            self.counters,
+            rng,
+        )
         self.last_tick = float("-inf")
         # Whether missing entries may reappear because the store was
         # unavailable.
         self.entries_may_return = False
-        self.counters: collections.Counter = collections.Counter()
 
     def load(self, tag: int) -> float:
         """Return the number of requests that a server handles now.
@@ -126,7 +135,7 @@
         if route is None:
             return self._decide_without_route(packet)
         if packet.opens:
-            return self._open(packet, route, now)
+            return self.opener.open(packet, route, now)
         return self._forward_later_packet(packet, route, now)
 
     def tick(
@@ -286,86 +295,9 @@
             return flows.Reset("no_route")
         return flows.Ignore("no_route")
 
-    def _open(
-        self, packet: flows.Packet, route: routes.Route, now: float
-    ) -> flows.Decision:
-        flow = self.table.find(packet.key)
-        if flow is None or flow.ended:
-            return self._open_new_flow(packet, route, now)
-        same_server = self._server_for_copy(flow, packet, route)
-        if same_server is not None:
-            self.table.resend(flow, same_server, now)
-            return flows.Forward(same_server)
-        if flow.answered:
-            # A late copy of the packet that opened the flow.
-            return flows.Ignore("late_first_packet")
-        service = self._service_for_copy(flow, route)
-        server = self.choose(service, now, excluded=flow.server)
-        if server is None:
-            return flows.Reset("no_server")
-        self.counters["moved_first_packets"] += 1
-        self.table.resend(flow, server, now)
-        return flows.Forward(server)
-
-    def _open_new_flow(
-        self, packet: flows.Packet, route: routes.Route, now: float
-    ) -> flows.Decision:
-        server = self.choose(route.choose(self.rng), now)
-        if server is None:
-            return flows.Reset("no_server")
-        self.table.add(packet.key, server, now, route.timeout)
-        return flows.Forward(server)
-
-    def choose(
-        self,
-        service: str,
-        now: float,
-        excluded: backends.Backend | None = None,
-    ) -> backends.Backend | None:
+    def choose(self, service: str, now: float) -> backends.Backend | None:
         """Return the server for a new flow, None if the service has none."""
-        pool = self.directory.pool(service)
-        return self.balancer.choose_from_pool(pool, now, excluded)
-
-    def _server_for_copy(
-        self,
-        flow: flowtable.OpenFlow,
-        packet: flows.Packet,
-        route: routes.Route,
-    ) -> backends.Backend | None:
-        """Return the server that must get a repeated first packet again.
-
-        It must go to the same server, because two servers that answer the
-        same caller would each put their own tag into the flow. Another server
-        is chosen if the caller itself has repeated the packet and the first
-        server has answered no flow since the packet was last sent to it, or
-        if the first server no longer accepts new flows of this route.
-
-        :returns: None if another server should be chosen.
-        """
-        server = self.directory.find(flow.server.tag)
-        if server is None:
-            return None
-        if server not in self.directory.pool(server.service):
-            return None
-        if not route.gives_new_flows(server.service):
-            return None
-        has_answered = (
-            self.failure_detector.server_record(server).last_answer
-            >= flow.sent
-        )
-        return server if has_answered or not packet.copies else None
-
-    def _service_for_copy(
-        self, flow: flowtable.OpenFlow, route: routes.Route
-    ) -> str:
-        """Return the service for a first packet that is sent elsewhere.
-
-        It stays the one of the first attempt only while the route in force
-        still sends new flows there.
-        """
-        if route.gives_new_flows(flow.server.service):
-            return flow.server.service
-        return route.choose(self.rng)
+        return self.opener.choose(service, now)
 
     def _forward_later_packet(
         self, packet: flows.Packet, route: routes.Route, now: float
--- /dev/null
+++ b/vanilladrum/core/selection/__init__.py
@@ -0,0 +1,1 @@
+"""Selection of backend servers for new flows."""
--- /dev/null
+++ b/vanilladrum/core/selection/opener.py
@@ -0,0 +1,125 @@
+"""Forwarding of the packets that open flows."""
+
+import collections
+import random
+
+from vanilladrum.core import backend as backends
+from vanilladrum.core import balance
+from vanilladrum.core import failure_detector as failure_detectors
+from vanilladrum.core import flow as flows
+from vanilladrum.core import flowtable
+from vanilladrum.core import routes
+
+
+class FlowOpener:
+    """Selects the server of a new flow and of repeated first packets.
+
+    :param directory: servers in use.
+    :param table: the flows that pass through this host.
+    :param balancer: chooses among the servers of a service.
+    :param counters: counters of the host.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        directory: backends.ServerDirectory,
+        table: flowtable.FlowTable,
+        failure_detector: failure_detectors.FailureDetector,
+        balancer: balance.Balancer,
+        counters: collections.Counter,
+        rng: random.Random,
+    ) -> None:
+        self.directory = directory
+        self.table = table
+        self.failure_detector = failure_detector
+        self.balancer = balancer
+        self.counters = counters
+        self.rng = rng
+
+    def open(
+        self, packet: flows.Packet, route: routes.Route, now: float
+    ) -> flows.Decision:
+        """Decide where a packet that opens a flow goes.
+
+        :param route: route of the packet's destination.
+        :param now: monotonic seconds.
+        """
+        flow = self.table.find(packet.key)
+        if flow is None or flow.ended:
+            return self.open_new_flow(packet, route, now)
+        same_server = self.server_for_copy(flow, packet, route)
+        if same_server is not None:
+            self.table.resend(flow, same_server, now)
+            return flows.Forward(same_server)
+        if flow.answered:
+            # A late copy of the packet that opened the flow.
+            return flows.Ignore("late_first_packet")
+        service = self.service_for_copy(flow, route)
+        server = self.choose(service, now, excluded=flow.server)
+        if server is None:
+            return flows.Reset("no_server")
+        self.counters["moved_first_packets"] += 1
+        self.table.resend(flow, server, now)
+        return flows.Forward(server)
+
+    def open_new_flow(
+        self, packet: flows.Packet, route: routes.Route, now: float
+    ) -> flows.Decision:
+        """Choose the server of a new flow and add the flow to the table."""
+        server = self.choose(route.choose(self.rng), now)
+        if server is None:
+            return flows.Reset("no_server")
+        self.table.add(packet.key, server, now, route.timeout)
+        return flows.Forward(server)
+
+    def choose(
+        self,
+        service: str,
+        now: float,
+        excluded: backends.Backend | None = None,
+    ) -> backends.Backend | None:
+        """Return the server for a new flow, None if the service has none."""
+        pool = self.directory.pool(service)
+        return self.balancer.choose_from_pool(pool, now, excluded)
+
+    def server_for_copy(
+        self,
+        flow: flowtable.OpenFlow,
+        packet: flows.Packet,
+        route: routes.Route,
+    ) -> backends.Backend | None:
+        """Return the server that must get a repeated first packet again.
+
+        It must go to the same server, because two servers that answer the
+        same caller would each put their own tag into the flow. Another server
+        is chosen if the caller itself has repeated the packet and the first
+        server has answered no flow since the packet was last sent to it, or
+        if the first server no longer accepts new flows of this route.
+
+        :returns: None if another server should be chosen.
+        """
+        server = self.directory.find(flow.server.tag)
+        if server is None:
+            return None
+        if server not in self.directory.pool(server.service):
+            return None
+        if not route.gives_new_flows(server.service):
+            return None
+        has_answered = (
+            self.failure_detector.server_record(server).last_answer
+            >= flow.sent
+        )
+        return server if has_answered or not packet.copies else None
+
+    def service_for_copy(
+        self, flow: flowtable.OpenFlow, route: routes.Route
+    ) -> str:
+        """Return the service for a first packet that is sent elsewhere.
+
+        It stays the one of the first attempt only while the route in force
+        still sends new flows there.
+        """
+        if route.gives_new_flows(flow.server.service):
+            return flow.server.service
+        return route.choose(self.rng)
