Read target latencies, priorities, warm-up and their bounds

Routes may name a target latency and a priority, services a warm-up, and the settings the bounds of evacuations and warm-up. All are optional, so that configurations and settings without them are read as before; each has a type and bounds. Nothing uses them yet.

--- a/tests/test_package_boundaries.py
+++ b/tests/test_package_boundaries.py
@@ -19,6 +19,9 @@
     "store-revision",
     "allow-stale",
     "warmup-left-ms",
+    "warmup-per-s",
+    "target-latency-ms",
+    "evacuate-ms",
     "VANILLADRUM_NODE_FILE",
     "/vanilladrum/ready",
 )
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -25,6 +25,9 @@
     :param timeout: seconds after which a caller gives up a request.
     :param repeatable: whether callers may send its requests again, because
         they are idempotent.
+    :param target_latency: seconds within which a request should be answered,
+        0 if the route names no target.
+    :param priority: priority of its requests, 0 is the highest.
     """
 
     def __init__(
@@ -33,11 +36,15 @@
         shares: tuple[Share, ...],
         timeout: float,
         repeatable: bool = False,
+        target_latency: float = 0.0,
+        priority: int = 0,
     ) -> None:
         self.name = name
         self.shares = shares
         self.timeout = timeout
         self.repeatable = repeatable
+        self.target_latency = target_latency
+        self.priority = priority
 
     @property
     def services(self) -> frozenset[str]:
@@ -75,6 +82,19 @@
         return rng.choices(self.shares, weights)[0].service
 
 
+class WarmUp:
+    """How a service's servers start, as its configuration says.
+
+    :param seconds: time for which a server is cold after its start.
+    :param rate: requests per second that a cold server bears; 0 if the
+        configuration names no rate.
+    """
+
+    def __init__(self, seconds: float, rate: float) -> None:
+        self.seconds = seconds
+        self.rate = rate
+
+
 class FlowConfiguration:
     """A complete configuration of flows.
 
@@ -84,6 +104,7 @@
     :param idle_timeout: seconds after which an idle flow may be removed.
     :param health_paths: URL path of the health check, by service.
     :param era: number of restores of the store when it was read.
+    :param warm_ups: warm-up by service; services without one are left out.
     """
 
     def __init__(
@@ -93,12 +114,14 @@
         idle_timeout: float,
         health_paths: dict[str, str] | None = None,
         era: int = 0,
+        warm_ups: dict[str, WarmUp] | None = None,
     ) -> None:
         self.generation = generation
         self.routes = routes
         self.idle_timeout = idle_timeout
         self.health_paths = health_paths or {}
         self.era = era
+        self.warm_ups = warm_ups or {}
 
 
 # In force until the first configuration is adopted.
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -16,6 +16,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 SERVER_KIND = "servers"
+# Each object of this kind is named after a data centre to evacuate.
+EVACUATION_KIND = "evacuations"
 # Field of the metadata that entry hosts add to an object of an earlier era.
 ERA_FIELD = "era"
 SECONDS_PER_MS = 0.001
@@ -25,6 +27,8 @@
 MAX_DURATION_MS = 10**9
 MAX_SLOTS = 100_000
 MAX_WEIGHT = 1e9
+MAX_RATE = 1e9
+MAX_PRIORITY = 1000
 MAX_TEXT_LENGTH = 256
 # Types of routes whose requests are idempotent.
 _REPEATABLE_TYPES = ("safe", "download")
@@ -195,6 +199,11 @@
                 for each in expect_list(content["services"])
             },
             era=entry.era,
+            warm_ups={
+                expect_text(each["name"]): _warm_up(each)
+                for each in expect_list(content["services"])
+                if "warmup-s" in each
+            },
         )
     except _CONVERSION_ERRORS as error:
         raise errors.PlatformError(
@@ -245,6 +254,15 @@
         shares=shares,
         timeout=_expect_duration(route["timeout-ms"]),
         repeatable=route.get("type") in _REPEATABLE_TYPES,
+        target_latency=_expect_duration(route.get("target-latency-ms", 0)),
+        priority=expect_int(route.get("priority", 0), 0, MAX_PRIORITY),
+    )
+
+
+def _warm_up(service: dict) -> routes.WarmUp:
+    return routes.WarmUp(
+        _expect_number(service["warmup-s"], MAX_DURATION_MS * SECONDS_PER_MS),
+        _expect_number(service.get("warmup-per-s", 0), MAX_RATE),
     )
 
 
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -29,6 +29,11 @@
     :param grace: seconds between SIGTERM and SIGKILL.
     :param flow_lifetime: longest lifetime of a flow, in seconds.
     :param heartbeat: interval between two writes of a server, in seconds.
+    :param evacuation_limit: seconds within which an evacuation has to be in
+        force, None if the deployment has no evacuations.
+    :param warm_up_overage: factor of the rate that a cold server bears.
+    :param warm_up_slack: requests per second that a cold server may get
+        beyond that, None if the deployment does not limit them.
     """
 
     def __init__(
@@ -44,6 +49,9 @@
         grace: float,
         flow_lifetime: float,
         heartbeat: float,
+        evacuation_limit: float | None = None,
+        warm_up_overage: float = 1.0,
+        warm_up_slack: float | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -56,6 +64,9 @@
         self.grace = grace
         self.flow_lifetime = flow_lifetime
         self.heartbeat = heartbeat
+        self.evacuation_limit = evacuation_limit
+        self.warm_up_overage = warm_up_overage
+        self.warm_up_slack = warm_up_slack
 
 
 def path() -> str:
@@ -106,6 +117,9 @@
         grace=reader.number("bounds.grace-s", 6.0),
         flow_lifetime=reader.number("bounds.flow-ttl-s", 60.0),
         heartbeat=reader.number("heartbeat-ms", 1200.0) * SECONDS_PER_MS,
+        evacuation_limit=reader.duration("bounds.evacuate-ms"),
+        warm_up_overage=reader.number("bounds.warmup-overage", 1.0),
+        warm_up_slack=reader.optional_number("bounds.warmup-slack"),
     )
 
 
@@ -197,6 +211,17 @@
             )
         return port
 
+    def optional_number(self, key: str) -> float | None:
+        """Return a number, None if the key is missing."""
+        return self.number(key, 0.0) if self.optional(key) else None
+
+    def duration(self, key: str) -> float | None:
+        """Return a time in milliseconds as seconds, None without the key."""
+        milliseconds = self.optional_number(key)
+        if milliseconds is None:
+            return None
+        return milliseconds * SECONDS_PER_MS
+
     def number(self, key: str, default: float) -> float:
         value = self.optional(key)
         if not value:
