Let the core act at a tick without a packet from outside

Parts that are about to be added reset flows and send first packets again when a time is over. The core leaves such actions in FlowHost.actions; the daemon performs them after each tick. Resets are built from a flow's key, so that the packet that caused them need not be kept.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -72,7 +72,7 @@
     packet = packets.decode(FIRST_PACKET + b"rest")
     assert packet.opens and not packet.closes and packet.copies == 0
     assert packet.service == addresses.Address("198.18.0.1", 443).pack()
-    assert packets.caller_address(packet) == addresses.Address(
+    assert packets.caller_address(packet.key) == addresses.Address(
         "100.64.0.7", 40001
     )
     wire_id = packets.wire_id("i-7f3a91c2")
@@ -86,6 +86,15 @@
     assert packets.make_reset(packets.decode(FIRST_PACKET)) == RESET
 
 
+def test_reset_of_an_open_flow_has_what_the_caller_expects_next():
+    """A caller drops a reset far from its last acknowledgement number."""
+    later = FIRST_PACKET[:4] + bytes.fromhex("0000abcd") + FIRST_PACKET[8:28]
+    packet = packets.decode(later + bytes((packets.ACK, 0, 0, 0)))
+    reset = packets.make_flow_reset(packet.key, packet.acknowledged)
+    assert reset == packets.make_reset(packet)
+    assert reset == bytes.fromhex("0000abcd") + RESET[4:]
+
+
 def test_copies_of_a_first_packet_are_counted():
     """A repeated first packet has the number of earlier copies."""
     copy = FIRST_PACKET[:4] + bytes((0, 0, 0, 2)) + FIRST_PACKET[8:]
--- a/vanilladrum/core/flow.py
+++ b/vanilladrum/core/flow.py
@@ -100,3 +100,37 @@
 
 
 Decision = Forward | Reset | Ignore
+
+
+class ResetFlow:
+    """Action that resets a flow without a packet that causes it.
+
+    :param key: source and destination address and port, 12 bytes.
+    :param acknowledged: the caller's last acknowledgement number.
+    :param reason: counter name, such as ``server_dead``.
+    """
+
+    __slots__ = ("key", "acknowledged", "reason")
+
+    def __init__(self, key: bytes, acknowledged: int, reason: str) -> None:
+        self.key = key
+        self.acknowledged = acknowledged
+        self.reason = reason
+
+
+class SendFirstPacket:
+    """Action that sends a caller's first packet to a server.
+
+    :param packet: the packet as received from the caller.
+    :param server: the server that receives it.
+    """
+
+    __slots__ = ("packet", "server")
+
+    def __init__(self, packet: Packet, server: backends.Backend) -> None:
+        self.packet = packet
+        self.server = server
+
+
+# What the core asks the daemon to do at a tick, without a packet from outside.
+Action = ResetFlow | SendFirstPacket
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -90,6 +90,8 @@
             self.counters,
             rng,
         )
+        # Actions for the daemon, which takes them after each tick.
+        self.actions: list[flows.Action] = []
         self.last_tick = float("-inf")
         # Whether missing entries may reappear because the store was
         # unavailable.
@@ -199,6 +201,11 @@
             )
         return attempts
 
+    def take_actions(self) -> list[flows.Action]:
+        """Return the actions since the last call, and forget them."""
+        actions, self.actions = self.actions, []
+        return actions
+
     def next_tick_at(self, now: float) -> float:
         """Return when :meth:`tick` has to be called next, at the latest.
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -217,6 +217,7 @@
     def _tick_core(self, now: float) -> None:
         for attempt in self.core.tick(now, self._read_input()):
             self._log_unanswered_attempt(attempt)
+        self.forwarder.perform(self.core.take_actions())
 
     def _start_health_checks(self, now: float) -> None:
         for server in self.core.due_checks(now):
--- a/vanilladrum/daemons/packet_forwarder.py
+++ b/vanilladrum/daemons/packet_forwarder.py
@@ -61,6 +61,18 @@
         """
         return self.socket.read()
 
+    def perform(self, actions: list[flows.Action]) -> None:
+        """Carry out what the core has decided at a tick."""
+        for action in actions:
+            if isinstance(action, flows.ResetFlow):
+                self.core.counters[action.reason] += 1
+                self._send_reset(
+                    action.key,
+                    packets.make_flow_reset(action.key, action.acknowledged),
+                )
+                continue
+            self._forward(action.packet, action.server, self.loop.now())
+
     def close(self) -> None:
         """Handle the packets that have arrived and close the socket."""
         for _ in range(MAX_FINAL_READS):
@@ -97,14 +109,17 @@
         else:
             self._log_request(packet, server)
 
+    def _send_reset(self, key: bytes, datagram: bytes) -> None:
+        caller = packets.caller_address(key)
+        destination = addresses.Address(caller.host, self.callers_port)
+        self.socket.send(datagram, destination)
+
     def _refuse(
         self, packet: flows.Packet, decision: flows.Reset | flows.Ignore
     ) -> None:
         self.core.counters[decision.reason] += 1
         if isinstance(decision, flows.Reset):
-            caller = packets.caller_address(packet)
-            destination = addresses.Address(caller.host, self.callers_port)
-            self.socket.send(packets.make_reset(packet), destination)
+            self._send_reset(packet.key, packets.make_reset(packet))
         if not self.log.is_allowed("packet refused"):
             return
         self.log.event(
--- a/vanilladrum/platform/packet.py
+++ b/vanilladrum/platform/packet.py
@@ -14,6 +14,8 @@
 _UINT32 = struct.Struct(">I")
 # The first two fields of the header.
 _SEQUENCE_AND_ACK = struct.Struct(">II")
+# Ports of source and destination, then their addresses: a flow's key.
+_KEY = struct.Struct(">HHII")
 _WIRE_ID = struct.Struct(">Q")
 _TAG_OFFSET = 24
 _TAG_END = 28
@@ -56,9 +58,12 @@
     )
 
 
-def caller_address(packet: flow.Packet) -> addresses.Address:
-    """Return the address and port of the caller."""
-    return addresses.unpack(packet.raw[12:16] + packet.raw[8:10])
+def caller_address(key: bytes) -> addresses.Address:
+    """Return the address and port of a flow's caller.
+
+    :param key: key of the flow, as in :class:`vanilladrum.core.flow.Packet`.
+    """
+    return addresses.unpack(key[4:8] + key[0:2])
 
 
 def format_flow(key: bytes) -> str:
@@ -66,7 +71,7 @@
 
     :param key: key of the flow, as in :class:`vanilladrum.core.flow.Packet`.
     """
-    source = addresses.unpack(key[4:8] + key[0:2])
+    source = caller_address(key)
     target = addresses.unpack(key[8:12] + key[2:4])
     return f"{source}>{target}"
 
@@ -119,11 +124,19 @@
 
     Its sequence number is the next one that the caller expects.
     """
-    _, _, sport, dport, source, destination, *_ = HEADER.unpack_from(
-        packet.raw
-    )
+    sequence = 0 if packet.opens else packet.acknowledged
+    return make_flow_reset(packet.key, sequence)
+
+
+def make_flow_reset(key: bytes, sequence: int) -> bytes:
+    """Return the reset packet that ends a flow at its caller.
+
+    :param key: key of the flow, as in :class:`vanilladrum.core.flow.Packet`.
+    :param sequence: next sequence number that the caller expects.
+    """
+    sport, dport, source, destination = _KEY.unpack(key)
     return HEADER.pack(
-        0 if packet.opens else packet.acknowledged,
+        sequence,
         0,  # acknowledgement number
         dport,
         sport,
