Keep new flows out of evacuated data centres

An operator needs to take a data centre out of use without touching its servers. EvacuationRule applies it to the server directory, whose pools then lack the servers, so that sampling and copies of first packets need no check of their own.

Ruled out: a check for each candidate, which costs every choice; and judging another evacuated data centre by unanswered first packets, as it gets none.

--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -137,6 +137,10 @@
         server are still forwarded.
     :param servers: servers in use, by name.
     :param pools: servers that accept new flows, by service.
+    :param evacuated: names of the evacuated data centres. Their servers are
+        in no pool.
+    :param evacuated_pools: servers that would accept new flows but are in
+        evacuated data centres, by service.
     :param data_centre_sizes: number of servers in use, by data centre.
     """
 
@@ -150,6 +154,8 @@
         # the time until which it stays in use.
         self.pending_removal: dict[str, float] = {}
         self.pools: dict[str, ServerPool] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.evacuated_pools: dict[str, ServerPool] = {}
         self.data_centre_sizes: collections.Counter[str] = (
             collections.Counter()
         )
@@ -256,6 +262,26 @@
         """Return the servers of a service that accept new flows."""
         return self.pools.get(service, _EMPTY_POOL)
 
+    def set_evacuated(self, names: frozenset[str]) -> None:
+        """Replace the evacuated data centres.
+
+        Their servers get no new flows. Entries that arrive later are treated
+        in the same way. The cost is that of all servers, unless nothing
+        changes.
+        """
+        changed = self.evacuated ^ names
+        self.evacuated = names
+        if not changed & self.data_centre_sizes.keys():
+            return
+        for server in self.servers.values():
+            if server.data_centre in changed:
+                self._update_pool(server.tag)
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has no servers but evacuated ones."""
+        evacuated = self.evacuated_pools.get(service, _EMPTY_POOL)
+        return bool(evacuated.servers) and not self.pool(service).servers
+
     def data_centres(self) -> Iterable[str]:
         """Return the data centres that have servers in use."""
         return self.data_centre_sizes.keys()
@@ -287,7 +313,7 @@
     def _add_to_indexes(self, server: Backend) -> None:
         same_tag = self._by_tag.setdefault(server.tag, [])
         for each in same_tag:
-            self.pool(each.service).discard(each)
+            self._discard_from_pools(each)
         bisect.insort(
             same_tag, server, key=lambda each: (each.started, each.name)
         )
@@ -296,7 +322,7 @@
     def _remove_from_indexes(self, server: Backend) -> None:
         same_tag = self._by_tag[server.tag]
         same_tag.remove(server)
-        self.pool(server.service).discard(server)
+        self._discard_from_pools(server)
         if same_tag:
             self._update_pool(server.tag)
         else:
@@ -306,9 +332,17 @@
         """Add the server that owns a tag to its pool, or remove it."""
         server = self._by_tag[tag][0]
         in_use = self.servers.get(server.name) is server
-        if in_use and server.state == serverstate.ServerState.ACTIVE:
-            if server.service not in self.pools:
-                self.pools[server.service] = ServerPool()
-            self.pools[server.service].add(server)
-        else:
-            self.pool(server.service).discard(server)
+        if not in_use or server.state != serverstate.ServerState.ACTIVE:
+            self._discard_from_pools(server)
+            return
+        added, other = self.pools, self.evacuated_pools
+        if server.data_centre in self.evacuated:
+            added, other = other, added
+        other.get(server.service, _EMPTY_POOL).discard(server)
+        if server.service not in added:
+            added[server.service] = ServerPool()
+        added[server.service].add(server)
+
+    def _discard_from_pools(self, server: Backend) -> None:
+        for pools in (self.pools, self.evacuated_pools):
+            pools.get(server.service, _EMPTY_POOL).discard(server)
--- /dev/null
+++ b/vanilladrum/core/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of data centres: which are evacuated, and what follows."""
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -6,11 +6,13 @@
 """
 
 import collections
+from collections.abc import Callable, Iterable
 import random
 
 from vanilladrum.core import backend as backends
 from vanilladrum.core import balance
 from vanilladrum.core import digest as digests
+from vanilladrum.core.evacuation import rule as evacuation_rules
 from vanilladrum.core import failure_detector
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flow_observer
@@ -49,6 +51,8 @@
         are still forwarded.
     :param on_error: called with the exception of a part of :meth:`tick` that
         fails; raises it again by default.
+    :param on_data_centre_returned: called with the name of a data centre
+        whose evacuation has ended and the time, in monotonic seconds.
     """
 
     def __init__(
@@ -90,6 +94,15 @@
             self.counters,
             rng,
         )
+        self.evacuation = evacuation_rules.EvacuationRule(
+            data_centre,
+            self.directory,
+            neighbours,
+            self.failure_detector,
+        )
+        self.on_data_centre_returned: Callable[[str, float], None] = (
+            lambda name, now: None
+        )
         # Actions for the daemon, which takes them after each tick.
         self.actions: list[flows.Action] = []
         self.last_tick = float("-inf")
@@ -243,6 +256,15 @@
             return
         self.directory.schedule_removal(name, now + REMOVAL_DELAY_SECONDS)
 
+    def set_evacuated(self, names: Iterable[str], now: float) -> None:
+        """Replace the evacuations in force.
+
+        :param names: the data centres that are evacuated.
+        :param now: monotonic seconds.
+        """
+        for name in self.evacuation.set_names(frozenset(names), now):
+            self.on_data_centre_returned(name, now)
+
     def due_checks(self, now: float) -> list[backends.Backend]:
         """Return the suspect servers whose health check is due.
 
--- a/vanilladrum/core/selection/opener.py
+++ b/vanilladrum/core/selection/opener.py
@@ -58,7 +58,7 @@
         service = self.service_for_copy(flow, route)
         server = self.choose(service, now, excluded=flow.server)
         if server is None:
-            return flows.Reset("no_server")
+            return flows.Reset(self.refusal_reason(service))
         self.counters["moved_first_packets"] += 1
         self.table.resend(flow, server, now)
         return flows.Forward(server)
@@ -67,9 +67,10 @@
         self, packet: flows.Packet, route: routes.Route, now: float
     ) -> flows.Decision:
         """Choose the server of a new flow and add the flow to the table."""
-        server = self.choose(route.choose(self.rng), now)
+        service = route.choose(self.rng)
+        server = self.choose(service, now)
         if server is None:
-            return flows.Reset("no_server")
+            return flows.Reset(self.refusal_reason(service))
         self.table.add(packet.key, server, now, route.timeout)
         return flows.Forward(server)
 
@@ -83,6 +84,12 @@
         pool = self.directory.pool(service)
         return self.balancer.choose_from_pool(pool, now, excluded)
 
+    def refusal_reason(self, service: str) -> str:
+        """Return why a service has no server for a first packet."""
+        if self.directory.is_evacuated(service):
+            return "evacuated"
+        return "no_server"
+
     def server_for_copy(
         self,
         flow: flowtable.OpenFlow,
