Read evacuations from the store and pass them on

The kind uses the list watcher, store position, mirror and source selector of the other kinds. The kind is not required: a source that answers 404 (an earlier release, or a host that has just started) is not avoided, and the kind is listed at the store at most once a second.

Ruled out: counting the kind among those that a host must have listed before it watches the store, because a store without the kind would then leave a fleet without watchers.

The stand-in store can restrict a fault to kinds, and the stand-in server records when first packets arrive.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -111,6 +111,7 @@
 
     :param folder: directory of the settings and logs of the processes.
     :param host_count: number of entry hosts.
+    :param further_settings: lines that are added to the settings of the hosts.
     :param ports: four port numbers: of flow packets, of readiness probes and
         servers, of peers, and of the store.
     :param generation: version of the last configuration.
@@ -121,6 +122,7 @@
 
     folder: pathlib.Path
     host_count: int = 3
+    further_settings: str = ""
     store: object_store.ObjectStore = attrs.field(
         factory=object_store.ObjectStore
     )
@@ -274,6 +276,7 @@
             f"platform.address={host.store}\n"
             f"bounds.grace-s={GRACE_SECONDS}\n"
             "new.field=ignored\n"
+            f"{self.further_settings}"
         )
         return host
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -3,10 +3,12 @@
 import pytest
 
 from tests import flow_factories
+from tests import test_platform
 from tests import test_watchers
 from vanilladrum.core.evacuation import evacuations as evacuation_tables
 from vanilladrum.core import flow as flows
 from vanilladrum.core import position as positions
+from vanilladrum.platform import settings as node_settings
 
 HOLD_SECONDS = 4.0
 NOW = 1000.0
@@ -240,3 +242,13 @@
 def test_host_without_evacuations_is_unchanged(host):
     assert not host.evacuation.update(store_unreachable=True, now=NOW)
     assert data_centres(open_flows(host)) == {"bilbao", "gijon"}
+
+
+def test_settings_name_the_limit_and_the_data_centres():
+    read = node_settings.parse(
+        test_platform.SETTINGS
+        + "bounds.evacuate-ms=5000\nzones.oviedo=cantabrico\n",
+        "node.conf",
+    )
+    assert read.evacuation_limit == 5.0
+    assert read.data_centres == {"oviedo"}
--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -15,10 +15,11 @@
 FlowOutcome = flow_caller.FlowOutcome
 
 
-async def send_requests(cluster, count, pause=0.002):
+async def send_requests(cluster, count, pause=0.002, prefix="r"):
     """Send requests to both services; return how many were served.
 
     :param pause: seconds between two requests.
+    :param prefix: beginning of the ids of the requests.
     """
     names = list(cluster.service_addresses)
 
@@ -26,7 +27,9 @@
         await asyncio.sleep(number * pause)
         service = names[number % len(names)]
         target = cluster.service_addresses[service]
-        return await cluster.caller.request(target, f"r-{number}", service)
+        return await cluster.caller.request(
+            target, f"{prefix}-{number}", service
+        )
 
     outcomes = await asyncio.gather(*(send(n) for n in range(count)))
     return sum(outcome is FlowOutcome.SERVED for outcome in outcomes)
--- a/vanilladrum/core/errors.py
+++ b/vanilladrum/core/errors.py
@@ -65,6 +65,10 @@
     """
 
 
+class NotServedError(PlatformError):
+    """The called host does not have what was requested (status 404)."""
+
+
 class HistoryExpiredError(PlatformError):
     """The changes since a revision are not available any more.
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -169,6 +169,8 @@
             "datagrams_unsent": float(send_failures),
             "lines_dropped": float(self.log.writer.dropped),
         }
+        if self.state_sync.evacuation_sync is not None:
+            gauges |= self.state_sync.evacuation_sync.gauges()
         page = flow_metrics.render(self.core, gauges)
         request.respond(httpd.Response(200, page.encode()))
 
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -22,6 +22,9 @@
 # Delay between a list from the store and the first watch there, in seconds. By
 # then digests have usually arrived that show which host to follow instead.
 SETTLE_SECONDS = 0.2
+# Shortest interval between two lists at the store, in seconds, while the
+# followed host does not serve the kind.
+NOT_SERVED_INTERVAL_SECONDS = 1.0
 
 
 class ListWatcher:
@@ -34,6 +37,10 @@
         cost one call per change.
     :param is_versioned: whether the receiver itself recognizes older objects
         of the kind, so that it may be offered those of an older listing.
+    :param watch_seconds: long-poll time of a watch, in seconds.
+    :param is_required: whether this host needs a list of the kind. Otherwise
+        a source may be without the kind, as hosts of an earlier release are;
+        it is then listed at the store instead.
     :param position: position of the store up to which changes were received,
         None before the first list.
     :param listed_at_store: when the store itself last answered a list, in
@@ -50,6 +57,8 @@
         on_change: Callable[[objects.StoredObject], None],
         batches_changes: bool = False,
         is_versioned: bool = False,
+        watch_seconds: float = WATCH_SECONDS,
+        is_required: bool = True,
     ) -> None:
         self.source_selector = source_selector
         self.loop = source_selector.loop
@@ -58,10 +67,15 @@
         self.on_change = on_change
         self.batches_changes = batches_changes
         self.is_versioned = is_versioned
+        self.watch_seconds = watch_seconds
+        self.is_required = is_required
         self.position: positions.StorePosition | None = None
         self.listed_at_store = float("-inf")
         self.sent_at = float("inf")
         self._needs_listing = True
+        # When the store was last asked because the followed host does not
+        # serve the kind.
+        self._asked_store_at = float("-inf")
         self._current_source = source_selector.store_monitor.store
         self._call_number = 0
         self._cancel: Callable[[], None] = _no_cancel
@@ -131,7 +145,7 @@
             call(self.kind, on_answer)
             return
         self._cancel = source.watch(
-            self.kind, self.position, WATCH_SECONDS, on_answer
+            self.kind, self.position, self.watch_seconds, on_answer
         )
 
     def _on_answer(self, outcome: Any) -> None:
@@ -146,6 +160,11 @@
         elif isinstance(outcome, errors.AnswerTooLargeError):
             self._handle_too_large()
             return
+        elif (
+            isinstance(outcome, errors.NotServedError) and not self.is_required
+        ):
+            self._handle_not_served()
+            return
         elif isinstance(outcome, errors.PlatformError):
             self.source_selector.record_failure(self._current_source, outcome)
             # When the store is reachable again or the source changes, this
@@ -169,12 +188,34 @@
         self._needs_listing = True
         self._call_source(whole=True)
 
-    def _schedule_call(self, delay: float) -> None:
+    def _handle_not_served(self) -> None:
+        """List at the store what the followed host does not serve.
+
+        The host is not avoided for that. While the store is unreachable the
+        host is asked again, since it may have got the list.
+        """
+        store_monitor = self.source_selector.store_monitor
+        store = store_monitor.store
+        if self._current_source is store:
+            store_monitor.record_success()
+        if self._current_source is store or store_monitor.unreachable:
+            self._schedule_call(NOT_SERVED_INTERVAL_SECONDS)
+            return
+        due = self._asked_store_at + NOT_SERVED_INTERVAL_SECONDS
+        now = self.loop.now()
+        self._asked_store_at = max(now, due)
+        self._needs_listing = True
+        self._schedule_call(max(0.0, due - now), store)
+
+    def _schedule_call(
+        self, delay: float, source: stores.Store | None = None
+    ) -> None:
+        """Call a source later, by default the one that is current then."""
         call_number = self._call_number
 
         def call() -> None:
             if call_number == self._call_number:
-                self._call_source()
+                self._call_source(source)
 
         self.loop.after(delay, call)
 
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -54,9 +54,12 @@
         monotonic seconds.
     :param sent_at: when the call that waits for its answer was sent, in
         monotonic seconds; infinite if there is none.
+    :param is_required: whether a host without a list of the kind has to get
+        one before it watches the store for others.
     """
 
     kind: str
+    is_required: bool
     position: positions.StorePosition | None
     listed_at_store: float
     sent_at: float
@@ -134,12 +137,16 @@
 
     @property
     def has_all_lists(self) -> bool:
-        """Return whether all kinds of objects have been listed.
+        """Return whether all required kinds of objects have been listed.
 
         The lists may be empty: before the first configuration is written no
         host has one, and some host has to watch for it.
         """
-        return all(each.position is not None for each in self.list_watchers)
+        return all(
+            each.position is not None
+            for each in self.list_watchers
+            if each.is_required
+        )
 
     @property
     def entries_may_return(self) -> bool:
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -5,6 +5,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import flowhost
 from vanilladrum.core import position as positions
+from vanilladrum.daemons import evacuation_sync as evacuation_syncs
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import list_watch
 from vanilladrum.daemons import server_sync as server_syncs
@@ -34,6 +35,8 @@
     :param on_known: called after each configuration and list of servers, if
         both the configuration and the servers are known.
     :param server_sync: applies the lists and changes of servers.
+    :param evacuation_sync: applies the evacuations, None if the deployment has
+        none.
     :param follows_source: whether a source is followed, that is, whether the
         initial wait for digests of other hosts is over.
     :raises SettingsError: when the peer endpoint cannot be bound.
@@ -83,11 +86,34 @@
             self._configuration_changed,
             is_versioned=True,
         )
+        self.evacuation_sync: evacuation_syncs.EvacuationSync | None = None
+        if settings.evacuation_limit is not None:
+            self.evacuation_sync = evacuation_syncs.EvacuationSync(
+                loop,
+                core,
+                log,
+                self.source_selector,
+                settings.evacuation_limit,
+                self.server_sync.expiry_seconds,
+                settings.data_centres,
+                self._notify_if_known,
+            )
         self.endpoint = httpd.HttpEndpoint(loop, mirrors.serve(self.mirror))
         self.endpoint.listen(settings.peer)
 
     @property
     def is_complete(self) -> bool:
+        """Return whether this host knows enough to serve.
+
+        It needs the configuration and the servers, and waits for the
+        evacuations for a limited time.
+        """
+        return self._servers_known and (
+            self.evacuation_sync is None or self.evacuation_sync.is_settled
+        )
+
+    @property
+    def _servers_known(self) -> bool:
         """Return whether the configuration and the servers are known."""
         return (
             bool(self.core.configuration.generation)
@@ -110,6 +136,8 @@
         if self.follows_source:
             self.source_selector.tick()
             self.mirror.tick()
+        if self.evacuation_sync is not None:
+            self.evacuation_sync.tick()
 
     def next_tick_at(self, now: float) -> float:
         """Return when :meth:`tick` has to be called next, at the latest.
@@ -131,6 +159,8 @@
         self.source_selector.start()
 
     def _notify_if_known(self) -> None:
+        if self.evacuation_sync is not None and self._servers_known:
+            self.evacuation_sync.servers_known()
         if self.is_complete:
             self.on_known()
 
--- a/vanilladrum/platform/answers.py
+++ b/vanilladrum/platform/answers.py
@@ -62,7 +62,12 @@
             f"{request_line} was refused: the object has changed; read it and "
             "repeat the change"
         )
-    if status != _OK and not (status == _NOT_FOUND and allow_not_found):
+    if status == _NOT_FOUND and not allow_not_found:
+        return errors.NotServedError(
+            f"{request_line} was answered with status 404; an entry host of "
+            "an earlier release, or one that has just started, does so"
+        )
+    if status not in (_OK, _NOT_FOUND):
         return errors.PlatformError(
             f"the store answered {status} to {request_line}; see the store's "
             "documentation of this call"
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -298,7 +298,11 @@
 
 def serve(mirror: Mirror) -> httpd.Handlers:
     """Return the HTTP handlers of a mirror, by path."""
-    kinds = (objects.CONFIGURATION_KIND, objects.SERVER_KIND)
+    kinds = (
+        objects.CONFIGURATION_KIND,
+        objects.SERVER_KIND,
+        objects.EVACUATION_KIND,
+    )
     return {f"{stores.OBJECTS_PATH}/{kind}": mirror.handle for kind in kinds}
 
 
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -34,6 +34,7 @@
     :param warm_up_overage: factor of the rate that a cold server bears.
     :param warm_up_slack: requests per second that a cold server may get
         beyond that, None if the deployment does not limit them.
+    :param data_centres: names of the data centres that the settings list.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         evacuation_limit: float | None = None,
         warm_up_overage: float = 1.0,
         warm_up_slack: float | None = None,
+        data_centres: frozenset[str] = frozenset(),
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -67,6 +69,7 @@
         self.evacuation_limit = evacuation_limit
         self.warm_up_overage = warm_up_overage
         self.warm_up_slack = warm_up_slack
+        self.data_centres = data_centres
 
 
 def path() -> str:
@@ -120,6 +123,7 @@
         evacuation_limit=reader.duration("bounds.evacuate-ms"),
         warm_up_overage=reader.number("bounds.warmup-overage", 1.0),
         warm_up_slack=reader.optional_number("bounds.warmup-slack"),
+        data_centres=reader.names_after("zones."),
     )
 
 
@@ -193,6 +197,14 @@
         parts = self.optional(key).split(",")
         return [self._parse(key, part) for part in parts if part]
 
+    def names_after(self, prefix: str) -> frozenset[str]:
+        """Return the rest of all keys that begin with a prefix."""
+        return frozenset(
+            key.removeprefix(prefix)
+            for key in self.values
+            if key.startswith(prefix)
+        )
+
     def port(self, key: str, part: int) -> int:
         """Return one of several ports that are separated by commas.
 
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -33,6 +33,8 @@
         draining.
     :param last_opened: when the last flow was opened, by service address, in
         seconds of the event loop.
+    :param last_first_packet: when a first packet or a copy of one arrived
+        last, in seconds of the event loop.
     :param corrupted_packets: number of packets with a wrong checksum.
     :param flows: state of each flow by caller and service address.
     """
@@ -50,6 +52,7 @@
     executed_ids: list[str] = attrs.field(factory=list)
     flows_opened_while_draining: int = 0
     last_opened: dict[addresses.Address, float] = attrs.field(factory=dict)
+    last_first_packet: float = float("-inf")
     corrupted_packets: int = 0
     flows: dict[tuple, dict] = attrs.field(factory=dict)
     endpoint: sockets.Endpoint = attrs.field(init=False)
@@ -113,12 +116,12 @@
             self._send(segment, packets.ACK, flow["sequence"])
 
     def _open(self, key: tuple, segment: flow_packets.Segment) -> None:
+        now = asyncio.get_running_loop().time()
+        self.last_first_packet = now
         if key not in self.flows:
             if self.full:
                 return
-            self.last_opened[segment.target] = (
-                asyncio.get_running_loop().time()
-            )
+            self.last_opened[segment.target] = now
             self.flows_opened_while_draining += self.draining
             self.flows[key] = {
                 "sequence": random.getrandbits(32),
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -66,6 +66,8 @@
     :param rejected_hosts: addresses of the store at which the fault applies
         to calls; all if empty. Each entry host has one of its own, because all
         connect from the same address on loopback.
+    :param rejected_kinds: kinds of objects whose calls the fault applies to;
+        all if empty.
     :param calls: number of calls by operation; ``answer`` counts the
         responses to watches.
     :param raw_specs: bytes that take the place of a specification in answers,
@@ -83,6 +85,7 @@
     era: int = 1
     injected_fault: InjectedFault = InjectedFault.NONE
     rejected_hosts: frozenset[str] = frozenset()
+    rejected_kinds: frozenset[str] = frozenset()
     calls: collections.Counter = attrs.field(factory=collections.Counter)
     dropped_watches: int = 0
     raw_specs: dict[bytes, bytes] = attrs.field(factory=dict)
@@ -174,6 +177,8 @@
             not self.rejected_hosts
             or _called_address(request) in self.rejected_hosts
         )
+        if self.rejected_kinds:
+            affected &= request.match_info["kind"] in self.rejected_kinds
         if self.injected_fault is InjectedFault.NONE or not affected:
             return
         if self.injected_fault is InjectedFault.BUSY:
