--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -3,12 +3,16 @@
 import pytest
 
 from tests import flow_factories
+from tests import stored_objects
+from tests import test_list_watch
 from tests import test_platform
 from tests import test_watchers
 from vanilladrum.core.evacuation import evacuations as evacuation_tables
 from vanilladrum.core import flow as flows
 from vanilladrum.core import position as positions
+from vanilladrum.daemons import evacuation_sync
 from vanilladrum.platform import settings as node_settings
+from vanilladrum.platform import store as stores
 
 HOLD_SECONDS = 4.0
 NOW = 1000.0
@@ -244,6 +248,45 @@
     assert data_centres(open_flows(host)) == {"bilbao", "gijon"}
 
 
+@pytest.fixture
+def list_watcher(host):
+    """Return the list watcher of a host that follows host 2."""
+    selector, _ = test_list_watch.make_source_selector(1, False)
+    evacuation_sync.EvacuationSync(
+        selector.loop,
+        host,
+        selector.store_monitor.log,
+        selector,
+        5.0,
+        HOLD_SECONDS,
+        frozenset(),
+        lambda: None,
+    )
+    reader = selector.list_watchers[-1]
+    reader._current_source = selector.current_client()
+    listed = stored_objects.make_object("gijon", {})
+    reader._on_answer(stores.Listing((listed,), 50, 1))
+    return reader
+
+
+# The older state of a followed host that is behind ended an evacuation.
+def test_follower_of_a_host_that_is_behind(host, list_watcher):
+    assert host.directory.evacuated == {"gijon"}
+    list_watcher._on_answer(stores.Listing((), 49, 1))
+    assert host.directory.evacuated == {"gijon"}
+    list_watcher._on_answer(stores.Listing((), 51, 1))
+    assert host.directory.evacuated == set()
+
+
+# A kind that nobody has kept a host from watching the store for others.
+def test_missing_list_of_evacuations_does_not_prevent_watching(list_watcher):
+    selector = list_watcher.source_selector
+    for each in selector.list_watchers:
+        each.position = BEFORE
+    list_watcher.position = None
+    assert selector.has_all_lists
+
+
 def test_settings_name_the_limit_and_the_data_centres():
     read = node_settings.parse(
         test_platform.SETTINGS
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -25,6 +25,10 @@
     2: "copies of first packets went to a service that the route had left",
     4: "a zone that cannot be encoded ended all ticks; SIGTERM was ignored",
 }
+# The same of runs in which data centres are evacuated.
+EVACUATION_SEEDS = {
+    1: "the first seed",
+}
 SECONDS = 8.0
 
 
@@ -43,6 +47,14 @@
     assert report["faults"] >= 5
 
 
+# Evacuations were tested without overlapping faults only.
+@pytest.mark.parametrize("seed", EVACUATION_SEEDS)
+async def test_guarantees_hold_during_evacuations(seed, tmp_path):
+    report = await flow_soak.soak(seed, SECONDS, tmp_path, "evacuations")
+    assert report["broken"] == [], report
+    assert "evacuate" in [name for _, name in report["injected"]], report
+
+
 # No soak had silences shorter than a ping, entries of other writers, or full
 # servers while a route moved.
 @pytest.mark.parametrize("seed", ODD_SEEDS)
