Prefer warm servers and refuse what cold ones may not get

With the setting bounds.warmup-slack, warm servers are preferred to cold ones of the same health status, and cold ones get new flows, copies and moved first packets within the budget only. Without it no code of this part runs.

Services without a rate use cold servers beyond the budget if no other server is usable. A server counts as usable unless it is ejected, presumed dead, in an unreachable data centre, or holds three requests a slot; otherwise the first warm server after a restart of a whole service would get its whole load.

A copy that its cold server may not get is refused instead of moved, because both servers might answer the caller. A duplicate by the network is dropped: a reset would end the opening that the first packet has begun.

--- a/vanilladrum/core/balance.py
+++ b/vanilladrum/core/balance.py
@@ -7,6 +7,7 @@
 from vanilladrum.core import failure_detector as failure_detectors
 from vanilladrum.core import policy as policies
 from vanilladrum.core import speed_estimator as speed_estimators
+from vanilladrum.core.warmup import preference as preferences
 
 # Load that is added to a server in another data centre, as a fraction of its
 # slots. A local server is preferred while it has a free slot.
@@ -44,6 +45,8 @@
     :param load: returns the number of requests that the server with a tag
         handles now.
     :param rng: breaks ties between equally loaded servers.
+    :param warm_up: preference of warm servers, None if cold ones are not
+        limited.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self.load = load
         self.rng = rng
         self.policy = policies.find(POLICY)
+        self.warm_up: preferences.Preference | None = None
 
     def choose(
         self,
@@ -74,7 +78,10 @@
             is chosen only if it is the only server.
         """
         others = [each for each in servers if each is not excluded]
-        eligible = self._with_best_status(others or servers, now)
+        eligible = self._eligible(others or servers, now)
+        if not eligible:
+            # Cold servers may be full; the excluded one is the last resort.
+            eligible = self._eligible(servers, now)
         if not eligible:
             return None
         candidates = [self._candidate(each, now) for each in eligible]
@@ -97,13 +104,43 @@
         candidates: list[backends.Backend] = []
         for _ in range(MAX_SAMPLES):
             candidates += pool.candidates(self.data_centre, self.rng)
-            best = self.best_status(candidates, now)
-            if best is failure_detectors.HealthStatus.GOOD:
+            if self._has_best(candidates, now):
                 break
             if len(candidates) >= len(pool.servers):
                 break
+        if self._needs_more(candidates, now, excluded):
+            candidates += pool.servers.sample(
+                preferences.EXTRA_SAMPLE, self.rng
+            )
         return self.choose(candidates, now, excluded)
 
+    def _has_best(self, servers: list[backends.Backend], now: float) -> bool:
+        """Return whether further samples could not have a better server."""
+        if self.warm_up and self.warm_up.budget.has_cold:
+            return self.warm_up.has_best(servers, now)
+        best = self.best_status(servers, now)
+        return best is failure_detectors.HealthStatus.GOOD
+
+    def _needs_more(
+        self,
+        servers: list[backends.Backend],
+        now: float,
+        excluded: backends.Backend | None,
+    ) -> bool:
+        """Return whether cold servers keep all others from being found."""
+        if not self.warm_up or not self.warm_up.budget.has_cold:
+            return False
+        others = [each for each in servers if each is not excluded]
+        return not self.warm_up.has_usable(others, now)
+
+    def _eligible(
+        self, servers: list[backends.Backend], now: float
+    ) -> list[backends.Backend]:
+        """Return the servers that are compared by load."""
+        if self.warm_up and self.warm_up.budget.has_cold:
+            return self.warm_up.eligible(servers, now)
+        return self._with_best_status(servers, now)
+
     def best_status(
         self, servers: list[backends.Backend], now: float
     ) -> failure_detectors.HealthStatus | None:
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import random
 
 from vanilladrum.core import backend as backends
@@ -22,6 +23,7 @@
 from vanilladrum.core.selection import opener as openers
 from vanilladrum.core import serverstate
 from vanilladrum.core import speed_estimator
+from vanilladrum.core.warmup import budget as budgets
 
 # Longest interval between two calls of FlowHost.tick, in seconds: while first
 # packets are unanswered or servers change, and otherwise.
@@ -38,6 +40,9 @@
 # unavailable, and a dead server has been marked as suspect.
 REMOVAL_DELAY_SECONDS = 0.3
 
+# Called with the name of a data centre and the time in monotonic seconds.
+ReturnHandler = Callable[[str, float], None]
+
 
 class FlowHost:
     """Decides where packets go, without doing I/O or reading a clock.
@@ -96,6 +101,10 @@
         # Whether missing entries may reappear because the store was
         # unavailable.
         self.entries_may_return = False
+        # Limit of the first packets for cold servers, None without one.
+        self.warm_up: budgets.WarmUpBudget | None = None
+        # Called when an evacuation ends.
+        self.on_data_centre_returned: ReturnHandler = lambda name, now: None
 
     def load(self, tag: int) -> float:
         """Return the number of requests that a server handles now.
@@ -168,11 +177,16 @@
                 lambda: self.table.expire(now),
                 lambda: self.neighbours.tick(now),
                 lambda: self._remove_servers(now),
+                lambda: self._tick_warm_up(now),
             ),
             self.on_error,
         )
         return attempts
 
+    def _tick_warm_up(self, now: float) -> None:
+        if self.warm_up is not None:
+            self.warm_up.tick(now)
+
     def _remove_servers(self, now: float) -> None:
         """Remove the servers that are gone, and what is known of them."""
         if not self.entries_may_return:
--- a/vanilladrum/core/selection/opener.py
+++ b/vanilladrum/core/selection/opener.py
@@ -9,6 +9,7 @@
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flowtable
 from vanilladrum.core import routes
+from vanilladrum.core.warmup import budget as budgets
 
 
 class FlowOpener:
@@ -19,6 +20,8 @@
     :param balancer: chooses among the servers of a service.
     :param counters: counters of the host.
     :param rng: source of randomness.
+    :param warm_up: limit of the first packets for cold servers, None if there
+        is none.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         self.balancer = balancer
         self.counters = counters
         self.rng = rng
+        self.warm_up: budgets.WarmUpBudget | None = None
 
     def open(
         self, packet: flows.Packet, route: routes.Route, now: float
@@ -49,29 +53,32 @@
         if flow is None or flow.ended:
             return self.open_new_flow(packet, route, now)
         same_server = self.server_for_copy(flow, packet, route)
-        if same_server is not None:
+        if same_server is not None and self._may_repeat(same_server, now):
             self.table.resend(flow, same_server, now)
-            return flows.Forward(same_server)
+            return self._forward(same_server, now)
         if flow.answered:
             # A late copy of the packet that opened the flow.
             return flows.Ignore("late_first_packet")
+        if same_server is not None:
+            return self._refuse_repeat(packet)
         service = self.service_for_copy(flow, route)
         server = self.choose(service, now, excluded=flow.server)
         if server is None:
-            return flows.Reset("no_server")
+            return flows.Reset(self._refusal_reason(service))
         self.counters["moved_first_packets"] += 1
         self.table.resend(flow, server, now)
-        return flows.Forward(server)
+        return self._forward(server, now)
 
     def open_new_flow(
         self, packet: flows.Packet, route: routes.Route, now: float
     ) -> flows.Decision:
         """Choose the server of a new flow and add the flow to the table."""
-        server = self.choose(route.choose(self.rng), now)
+        service = route.choose(self.rng)
+        server = self.choose(service, now)
         if server is None:
-            return flows.Reset("no_server")
+            return flows.Reset(self._refusal_reason(service))
         self.table.add(packet.key, server, now, route.timeout)
-        return flows.Forward(server)
+        return self._forward(server, now)
 
     def choose(
         self,
@@ -123,3 +130,37 @@
         if route.gives_new_flows(flow.server.service):
             return flow.server.service
         return route.choose(self.rng)
+
+    def _forward(self, server: backends.Backend, now: float) -> flows.Decision:
+        """Return the decision to send a first packet, and record it."""
+        if self.warm_up:
+            self.warm_up.record(server, now)
+        return flows.Forward(server)
+
+    def _may_repeat(self, server: backends.Backend, now: float) -> bool:
+        """Return whether a copy of a first packet may go to its server.
+
+        A cold server without budget gets it only if a new flow of its service
+        would go to such a server as well.
+        """
+        if not self.warm_up or self.warm_up.may_send(server, now):
+            return True
+        other = self.choose(server.service, now)
+        return other is not None and not self.warm_up.may_send(other, now)
+
+    def _refuse_repeat(self, packet: flows.Packet) -> flows.Decision:
+        """Return the decision on a copy that its cold server may not get.
+
+        It does not go to another server, because both might answer the
+        caller. A reset would end the opening while the first packet is on its
+        way, so a copy that the caller did not send is dropped.
+        """
+        if packet.copies:
+            return flows.Reset("warming_up")
+        return flows.Ignore("warming_up")
+
+    def _refusal_reason(self, service: str) -> str:
+        """Return why no server of a service may get a first packet."""
+        if self.directory.pool(service).servers:
+            return "warming_up"
+        return "no_server"
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -21,6 +21,7 @@
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import packet_forwarder
 from vanilladrum.daemons import state_sync
+from vanilladrum.daemons import warm_up
 from vanilladrum.platform import packet as packets
 from vanilladrum.platform import ready
 from vanilladrum.platform import settings as node_settings
@@ -67,6 +68,7 @@
         self.loop = loops.Loop(self._on_exception)
         self.core = _make_core(settings)
         self.core.on_error = self._on_exception
+        warm_up.set_up(self.core, settings, log)
         self.state_sync = state_sync.StateSync(
             self.loop, settings, self.core, log, self._on_state_known
         )
--- a/vanilladrum/daemons/flow_metrics.py
+++ b/vanilladrum/daemons/flow_metrics.py
@@ -30,7 +30,10 @@
 
 def _gauges(core: flowhost.FlowHost) -> dict[str, float]:
     directory = core.directory
-    return {
+    gauges: dict[str, float] = {}
+    if core.warm_up is not None:
+        gauges["cold_servers"] = core.warm_up.count_cold(directory)
+    return gauges | {
         "configuration_generation": core.configuration.generation,
         "routes": len(core.configuration.routes),
         "servers": len(directory.servers),
--- a/vanilladrum/daemons/server_sync.py
+++ b/vanilladrum/daemons/server_sync.py
@@ -137,8 +137,13 @@
         self._entry_order.record(server, entry.era)
         previous = self.core.directory.servers.get(server.name)
         self.core.handle_entry(server)
+        became_cold = self._count_warm_up(server)
         if not self.has_servers:
             return
+        if became_cold:
+            self.log.event(
+                "server cold", server=server.name, seconds=server.warm_up
+            )
         if previous is None or previous.state is not server.state:
             self.log.event(
                 "server",
@@ -148,6 +153,18 @@
                 revision=entry.revision,
             )
 
+    def _count_warm_up(self, server: backends.Backend) -> bool:
+        """Count down the warm-up of an entry that has changed.
+
+        :returns: whether the server was not cold before.
+        """
+        warm_up = self.core.warm_up
+        # A list may repeat an entry that arrived earlier.
+        is_repeated = self.core.directory.servers[server.name] is not server
+        if warm_up is None or is_repeated:
+            return False
+        return warm_up.update_entry(server, self.loop.now())
+
     def _remove(self, name: str, era: int) -> None:
         self._withheld.pop(name, None)
         self._entry_order.record_removal(name, era)
