--- a/vanilladrum/core/warmup/members.py
+++ b/vanilladrum/core/warmup/members.py
@@ -14,8 +14,8 @@
 # Hosts that were not heard for this long, in seconds, no longer count.
 KNOWN_SECONDS = 60.0
 # Number of local hosts up to which a starting host knows all of them at the
-# end of its discovery: it sends 90 digests in that time. At 75 hosts all views
-# were complete then, at 300 one had 43 of 299.
+# end of its discovery: it sends 90 digests in that time. In data centres of 33
+# hosts all views were complete then; in one of 300 a host knew 43 others.
 MAX_DISCOVERED_HOSTS = 36
 # Longest age of the view that a decision is based on, in seconds. Many first
 # packets in a row then share one view.
@@ -111,9 +111,9 @@
         """Return whether this host may open flows to a cold server.
 
         Fewer than ``count`` valid hosts precede it, and fewer than twice as
-        many known ones. The second condition keeps the number of hosts that
-        open flows below twice ``count`` however many hosts are cut off from
-        each other.
+        many known ones. Because of the second condition at most twice
+        ``count`` hosts open flows, whichever hosts are cut off from each
+        other.
 
         :param server: name of the server.
         :param count: number of hosts that may open flows to it.
@@ -140,10 +140,9 @@
         """Return whether the view of the data centre is good enough.
 
         It is not while this host discovers the others, or hears fewer than
-        half of the local hosts that it knows.
-        A host that hears nobody may be cut off: it never concludes from that
-        that it is the only one, unless it heard hosts of other data centres
-        only, or was given no seeds.
+        half of the local hosts that it knows. A host that hears nobody is not
+        taken for the only one, as it may be cut off, unless it has only ever
+        heard other data centres or was given no seeds.
 
         :param now: monotonic seconds.
         """
