--- a/tests/test_evacuation_processes.py
+++ b/tests/test_evacuation_processes.py
@@ -7,6 +7,7 @@
 
 from examples import flow_cluster
 from tests import test_flow_processes
+from vanilladrum.core import flowhost
 from vanilladrum.daemons import evacuation_sync
 from vanilladrum.standins import flow_caller
 from vanilladrum.standins import object_store
@@ -309,6 +310,8 @@
     began = asyncio.get_running_loop().time()
     assert not await test_flow_processes.send_requests(cluster, 30)
     assert asyncio.get_running_loop().time() - began < 0.5
+    # Hosts write their log lines at the next tick.
+    await asyncio.sleep(2 * flowhost.IDLE_TICK_INTERVAL_SECONDS)
     refused = [
         each["reason"]
         for host in cluster.hosts
