Send slow first packets of repeatable routes to a second server

Three in a hundred openings on the buoy network wait for the caller's own copy after 200 ms, because their first packet went to a dead or full server.

Ruled out: checks inside FlowHost, FlowOpener and FlowObserver, which would cost every host a test for each packet; a percentile over all openings, which would be the callers' 200 ms as soon as one in a hundred is repeated; hedges on a timer alone, after which two servers would answer most hedged flows.

--- a/vanilladrum/core/flow.py
+++ b/vanilladrum/core/flow.py
@@ -132,5 +132,29 @@
         self.server = server
 
 
+class Hedge(SendFirstPacket):
+    """Action that sends a slow first packet to a second server.
+
+    :param first_server: the server that has not answered it.
+    :param waited: seconds since it was sent there.
+    :param limit: seconds after which an opening of the service is slow.
+    """
+
+    __slots__ = ("first_server", "waited", "limit")
+
+    def __init__(
+        self,
+        packet: Packet,
+        server: backends.Backend,
+        first_server: backends.Backend,
+        waited: float,
+        limit: float,
+    ) -> None:
+        super().__init__(packet, server)
+        self.first_server = first_server
+        self.waited = waited
+        self.limit = limit
+
+
 # What the core asks the daemon to do at a tick, without a packet from outside.
 Action = ResetFlow | SendFirstPacket
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -206,6 +206,11 @@
         actions, self.actions = self.actions, []
         return actions
 
+    @property
+    def awaits_answers(self) -> bool:
+        """Return whether a packet that has arrived may prevent a timeout."""
+        return self.table.oldest_unanswered() is not None
+
     def next_tick_at(self, now: float) -> float:
         """Return when :meth:`tick` has to be called next, at the latest.
 
