Let operators switch hedging on in the environment

VANILLADRUM_HEDGE_SHARE, _PERCENTILE, _FLOOR_MS and _SERVICES, in a module of their own because they are the operators' and not the platform's.

The daemon reads its socket before a hedge as it does before a timeout, because the answer may wait there: FlowHost.awaits_answers replaces the question for the oldest unanswered packet, which is forgotten before a hedge is due. Hedges are logged with both servers, the wait and the limit.

The process test had a fault of its own at first: it sent the same request ids twice.

--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -5,6 +5,7 @@
 """
 
 import gc
+import os
 import random
 import signal
 import socket
@@ -43,6 +44,9 @@
 # A planned stop ends this long before the platform kills the process, in
 # seconds.
 GRACE_MARGIN_SECONDS = 0.5
+# Environment variable without which hedging is off; see
+# vanilladrum.daemons.hedge_settings.
+HEDGE_SHARE_VARIABLE = "VANILLADRUM_HEDGE_SHARE"
 
 
 class FlowHostDaemon:
@@ -240,7 +244,7 @@
 
         :returns: whether all packets were handled.
         """
-        if self.core.table.oldest_unanswered() is None:
+        if not self.core.awaits_answers:
             return True
         return self.forwarder.read()
 
@@ -336,9 +340,22 @@
         rng,
         settings.seeds,
     )
-    return flowhost.FlowHost(
-        settings.data_centre, neighbour_table, rng, settings.flow_lifetime
+    arguments = (
+        settings.data_centre,
+        neighbour_table,
+        rng,
+        settings.flow_lifetime,
     )
+    if not os.environ.get(HEDGE_SHARE_VARIABLE):
+        return flowhost.FlowHost(*arguments)
+    # Imported on demand, because a host without hedging needs none of it.
+    from vanilladrum.core.hedging import host as hedging_host
+    from vanilladrum.daemons import hedge_settings
+
+    hedging = hedge_settings.read(os.environ)
+    if hedging is None:
+        return flowhost.FlowHost(*arguments)
+    return hedging_host.HedgingFlowHost(*arguments, hedging)
 
 
 def run(
--- a/vanilladrum/daemons/packet_forwarder.py
+++ b/vanilladrum/daemons/packet_forwarder.py
@@ -71,6 +71,8 @@
                     packets.make_flow_reset(action.key, action.acknowledged),
                 )
                 continue
+            if isinstance(action, flows.Hedge):
+                self._log_hedge(action)
             self._forward(action.packet, action.server, self.loop.now())
 
     def close(self) -> None:
@@ -153,6 +155,16 @@
             revision=self.state_sync.servers_position.revision,
         )
 
+    def _log_hedge(self, hedge: flows.Hedge) -> None:
+        self.log.event(
+            "hedge",
+            flow=packets.format_flow(hedge.packet.key),
+            server=hedge.first_server.name,
+            second_server=hedge.server.name,
+            waited=round(hedge.waited, 4),
+            limit=round(hedge.limit, 4),
+        )
+
     def _log_request(
         self, packet: flows.Packet, server: backends.Backend
     ) -> None:
