Test that hedges without an answer count as signs of scarce capacity

The one mutant that the tests of hedging had left: hedges missing from the packets that decide whether capacity is scarce. The new test fails on it.

--- a/tests/test_hedge_limits.py
+++ b/tests/test_hedge_limits.py
@@ -76,3 +76,18 @@
     # 115 of 116 are 0.991.
     exact = sorted(durations)[114]
     assert exact <= times.limit <= exact * 1.0501
+
+
+def test_silent_hedges_count_as_signs_of_scarce_capacity():
+    """Otherwise hedges to full servers would not stop the next ones."""
+    host = worlds.make_learnt_host(worlds.make_distant_servers(16))
+    now = worlds.LEARNT
+    servers = [worlds.send_first(host, 1024 + n) for n in range(9)]
+    assert len(set(servers)) == 9
+    for number, server in enumerate(servers[:8]):
+        worlds.later_server(host, server.tag, now + 0.01, 1024 + number)
+    assert len(worlds.wait_for_hedge(host)) == 1
+    assert not host.hedge_policy.is_scarce(now + 0.05)
+    host.tick(now + 0.1)
+    # Two of ten, of which one is the hedge.
+    assert host.hedge_policy.is_scarce(now + 0.1)
