Reset repeatable requests that wait for a dead server

Cause: a server was presumed dead only after a first packet was left unanswered at the same host, and a flow was reset only when its caller sent another packet. At 80 hosts most hosts with flows to a dead server open no other flow to it, and the callers send nothing more: 317 requests of 80 hosts waited their 4.8 s.

A request of a repeatable route that has waited for the route's target latency now asks for a health check. Two checks in a row that do not reach the server's host make it presumed dead, and all tracked requests that wait for it are reset. This evidence has a state of its own (core/overdue); checks for it do not count for unanswered first packets.

The daemon schedules a tick after each result of a check. The second check of a dead server is due when the first one times out, and would not be started while the first one is running.

Ruled out: any answer of another server in the meantime as proof that this host is connected. Answers to packets from before a cut still arrive, and an answer after its end counted together with checks that had failed in the cut. The answered packet has to be sent between the starts of two unreached checks.

--- a/vanilladrum/core/failure_detector.py
+++ b/vanilladrum/core/failure_detector.py
@@ -11,6 +11,7 @@
 
 from vanilladrum.core import backend as backends
 from vanilladrum.core import health as healths
+from vanilladrum.core.overdue import unreached_servers
 
 # Bounds of the time allowed for a caller's next packet, in seconds. The lower
 # bound is several times the network latency within a zone. The upper bound is
@@ -119,6 +120,7 @@
         reached.
     :param silent_data_centres: data centres whose entry hosts send no
         digests now.
+    :param unreached: servers that are checked because of overdue requests.
     """
 
     def __init__(self) -> None:
@@ -128,6 +130,9 @@
         self.round_trip = RoundTrip()
         self.silent_servers: dict[str, set[int]] = {}
         self.silent_data_centres: set[str] = set()
+        self.unreached = unreached_servers.UnreachedServers(
+            CHECK_INTERVALS, MIN_UNREACHED_CHECKS, MIN_SUSPECTED_SECONDS
+        )
 
     def server_record(self, server: backends.Backend) -> ServerRecord:
         """Return the record of a server's current run, a new one if none."""
@@ -138,13 +143,21 @@
             self.suspects.pop(server.tag, None)
         return record
 
-    def record_answer(self, server: backends.Backend, now: float) -> None:
+    def record_answer(
+        self,
+        server: backends.Backend,
+        now: float,
+        sent: float = float("-inf"),
+    ) -> None:
         """Record an answer, which clears suspicion and ejection.
 
         It also shows that the server's data centre is reachable.
 
         :param now: monotonic seconds.
+        :param sent: when this host first sent the packet that was answered,
+            monotonic seconds.
         """
+        self.unreached.record_answer(server, sent)
         record = self.server_record(server)
         record.last_answer = now
         self.last_answer = now
@@ -187,7 +200,10 @@
         now: float,
         reached: bool = True,
     ) -> None:
-        """Record the result of a health check of a suspect server.
+        """Record the result of a health check.
+
+        One of a server that is not suspect, but has overdue requests, is no
+        evidence about unanswered first packets.
 
         A successful check clears the suspicion and shows that the data
         centre is reachable. It does not end an ejection, because flows may
@@ -198,7 +214,10 @@
             refusal. Overloaded servers and those without a working health
             endpoint are reached.
         """
+        self.unreached.record_check(server, reached, now)
         record = self.server_record(server)
+        if server.tag not in self.suspects:
+            return
         record.unreached_checks = 0 if reached else record.unreached_checks + 1
         if not healthy:
             return
@@ -233,12 +252,14 @@
     def is_presumed_dead(self, server: backends.Backend, now: float) -> bool:
         """Return whether a server is taken to have failed or to be cut off.
 
-        It has left a first packet unanswered and answered no caller since,
-        health checks did not reach it, and other servers have answered in the
-        meantime, so that this host itself is not the one that is cut off.
+        It has left a first packet or a request unanswered and answered no
+        caller since, health checks did not reach it, and other servers have
+        answered in the meantime, so that this host itself is not cut off.
 
         :param now: monotonic seconds.
         """
+        if self.unreached.is_dead(server, now):
+            return True
         record = self.records.get(server.tag)
         if record is None or record.started != server.started:
             return False
@@ -255,7 +276,8 @@
         """Return the current health status of a server.
 
         An unreachable data centre makes all its servers DOUBTED, except those
-        that are EJECTED.
+        that are EJECTED. An overdue request alone does not make a server
+        DOUBTED, because it may be slow.
         """
         record = self.records.get(server.tag)
         if record is not None and record.started == server.started:
@@ -263,7 +285,9 @@
                 return HealthStatus.EJECTED
             if record.suspected:
                 return HealthStatus.DOUBTED
-        if self.is_unreachable(server.data_centre):
+        if self.unreached.is_unreached(server) or self.is_unreachable(
+            server.data_centre
+        ):
             return HealthStatus.DOUBTED
         return HealthStatus.GOOD
 
@@ -271,6 +295,7 @@
         """Remove the state of a server that no longer exists."""
         self.records.pop(server.tag, None)
         self.suspects.pop(server.tag, None)
+        self.unreached.remove(server)
         self.silent_servers.get(server.data_centre, set()).discard(server.tag)
 
     def _clear_suspicion(
--- a/vanilladrum/core/flow_observer.py
+++ b/vanilladrum/core/flow_observer.py
@@ -9,6 +9,8 @@
 from vanilladrum.core import failure_detector as failure_detectors
 from vanilladrum.core import flow as flows
 from vanilladrum.core import flowtable
+from vanilladrum.core.overdue import overdue_requests
+from vanilladrum.core import routes
 from vanilladrum.core import speed_estimator as speed_estimators
 
 
@@ -16,6 +18,7 @@
     """Updates flows, health and speed from later packets of flows.
 
     :param table: the flows that pass through this host.
+    :param waiting_requests: receives the requests that callers begin.
     :param answer_times: seconds from sending a first packet to the caller's
         next packet.
     :param flow_durations: seconds from a first packet to the end of its flow,
@@ -29,10 +32,12 @@
         table: flowtable.FlowTable,
         failure_detector: failure_detectors.FailureDetector,
         speed_estimator: speed_estimators.SpeedEstimator,
+        waiting_requests: overdue_requests.OverdueRequests,
     ) -> None:
         self.table = table
         self.failure_detector = failure_detector
         self.speed_estimator = speed_estimator
+        self.waiting_requests = waiting_requests
         self.answer_times = buckets.Histogram()
         self.flow_durations: dict[str, buckets.Histogram] = {}
         self.response_times: dict[str, buckets.Histogram] = {}
@@ -41,7 +46,7 @@
         self,
         packet: flows.Packet,
         server: backends.Backend,
-        lifetime: float,
+        route: routes.Route,
         now: float,
     ) -> None:
         """Process a packet that is not the first one of its flow.
@@ -50,15 +55,15 @@
         and so does a packet that acknowledges data sent after a request.
 
         :param server: the server that the packet's tag names.
-        :param lifetime: seconds without a packet after which the flow is
-            removed from the table.
+        :param route: route of the flow; after its timeout without a packet
+            the flow is removed from the table.
         :param now: monotonic seconds.
         """
         flow = self.table.find(packet.key)
         if flow is None:
             # The first packet passed through another host, or through this
             # one before a restart.
-            flow = self.table.add(packet.key, server, now, lifetime)
+            flow = self.table.add(packet.key, server, now, route.timeout)
             flow.answered = True
             flow.first_packet_missed = True
         flow.last_packet = now
@@ -71,6 +76,7 @@
             self._record_response(flow, now)
         if flow.begins_request(packet):
             self.table.begin_request(flow, packet, now)
+            self.waiting_requests.begin(flow, route)
         elif flow.first_packet_missed and flow.request_sequence is None:
             self.table.end_request(flow)
         if packet.closes:
@@ -85,7 +91,7 @@
         the packet was sent.
         """
         flow.answered = True
-        self.failure_detector.record_answer(server, now)
+        self.failure_detector.record_answer(server, now, flow.opened)
         if flow.server is server:
             self.failure_detector.round_trip.add(now - flow.sent)
             self.answer_times.add(now - flow.sent)
@@ -95,7 +101,7 @@
         server = flow.server
         seconds = now - flow.request_sent
         self.table.end_request(flow)
-        self.failure_detector.record_answer(server, now)
+        self.failure_detector.record_answer(server, now, flow.request_sent)
         self.speed_estimator.record_response_time(server, seconds, now)
         _add_duration(self.response_times, flow, seconds)
 
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -16,6 +16,7 @@
 from vanilladrum.core import flow_observer
 from vanilladrum.core import flowtable
 from vanilladrum.core import neighbours as neighbour_tables
+from vanilladrum.core.overdue import monitor as overdue_monitors
 from vanilladrum.core import periodic
 from vanilladrum.core import position as positions
 from vanilladrum.core import routes
@@ -71,8 +72,15 @@
         self.table = flowtable.FlowTable()
         self.failure_detector = failure_detector.FailureDetector()
         self.speed_estimator = speed_estimator.SpeedEstimator()
+        self.counters: collections.Counter = collections.Counter()
+        self.overdue = overdue_monitors.OverdueMonitor(
+            self.directory, self.table, self.failure_detector, self.counters
+        )
         self.observer = flow_observer.FlowObserver(
-            self.table, self.failure_detector, self.speed_estimator
+            self.table,
+            self.failure_detector,
+            self.speed_estimator,
+            self.overdue.requests,
         )
         self.balancer = balance.Balancer(
             data_centre,
@@ -81,7 +89,6 @@
             self.load,
             rng,
         )
-        self.counters: collections.Counter = collections.Counter()
         self.opener = openers.FlowOpener(
             self.directory,
             self.table,
@@ -154,6 +161,7 @@
             # Callers' packets may have been lost during the pause, so missing
             # answers are no sign of a failed server.
             self.table.clear_unanswered()
+            self.overdue.restart(now)
         self.last_tick = now
         attempts: list[flowtable.UnansweredAttempt] = []
 
@@ -161,10 +169,16 @@
             if input_read:
                 attempts.extend(self._find_unanswered(now))
 
+        def reset_overdue() -> None:
+            if input_read:
+                services = self.configuration.health_paths
+                self.actions.extend(self.overdue.tick(now, services))
+
         periodic.run_each(
             (
                 lambda: self._update_silent_data_centres(now),
                 find_unanswered,
+                reset_overdue,
                 lambda: self.table.expire(now),
                 lambda: self.neighbours.tick(now),
                 lambda: self._remove_servers(now),
@@ -212,13 +226,14 @@
         :param now: monotonic seconds.
         :returns: monotonic seconds.
         """
+        due = self.overdue.next_due()
         oldest = self.table.oldest_unanswered()
         if oldest is not None:
-            due = oldest + self.failure_detector.round_trip.timeout()
-            return min(due, now + BUSY_TICK_INTERVAL_SECONDS)
+            timeout = self.failure_detector.round_trip.timeout()
+            return min(due, oldest + timeout, now + BUSY_TICK_INTERVAL_SECONDS)
         if self.directory.pending_removal or self.failure_detector.suspects:
-            return now + BUSY_TICK_INTERVAL_SECONDS
-        return now + IDLE_TICK_INTERVAL_SECONDS
+            return min(due, now + BUSY_TICK_INTERVAL_SECONDS)
+        return min(due, now + IDLE_TICK_INTERVAL_SECONDS)
 
     def handle_entry(self, server: backends.Backend) -> None:
         """Handle a server's entry in the store, which is new or has changed.
@@ -244,15 +259,17 @@
         self.directory.schedule_removal(name, now + REMOVAL_DELAY_SECONDS)
 
     def due_checks(self, now: float) -> list[backends.Backend]:
-        """Return the suspect servers whose health check is due.
+        """Return the servers whose health check is due.
 
-        Schedules the next check of each of them.
+        They are suspect or have overdue requests. Schedules the next check of
+        each of them.
         """
-        return [
+        suspects = [
             server
             for server in self.failure_detector.due_checks(now)
             if server.name in self.directory.servers
         ]
+        return suspects + self.overdue.due_checks(now)
 
     def make_digest(
         self,
@@ -314,8 +331,9 @@
             return flows.Ignore("unknown_tag")
         if server.service not in self.allowed_services[packet.service]:
             return flows.Ignore("wrong_service")
-        self.observer.observe(packet, server, route.timeout, now)
+        self.observer.observe(packet, server, route, now)
         if self._is_hopeless(packet, server, route, now):
+            self.overdue.discard(packet.key)
             return flows.Reset("server_dead")
         return flows.Forward(server)
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -19,6 +19,7 @@
 from vanilladrum.daemons import flow_metrics
 from vanilladrum.daemons import health_checks
 from vanilladrum.daemons import json_log
+from vanilladrum.daemons import overdue_log
 from vanilladrum.daemons import packet_forwarder
 from vanilladrum.daemons import state_sync
 from vanilladrum.platform import packet as packets
@@ -76,13 +77,13 @@
             self.core,
             self.state_sync,
             log,
-            self._on_first_packet,
+            self._schedule_core_tick,
         )
         self.digest_exchange = digest_exchange.DigestExchange(
             self.loop, settings.peer, self.core, self.state_sync, log
         )
         self.health_checker = health_checks.HealthChecker(
-            self.loop, self.core, log
+            self.loop, self.core, log, self._schedule_core_tick
         )
         self.readiness = ready.serve(
             self.loop, settings.readiness, lambda: self.is_ready
@@ -129,7 +130,7 @@
         # configuration they would be answered wrongly.
         self.forwarder.open()
 
-    def _on_first_packet(self) -> None:
+    def _schedule_core_tick(self) -> None:
         self._schedule_tick(self.core.next_tick_at(self.loop.now()))
 
     def _on_exception(self, error: Exception) -> None:
@@ -218,6 +219,7 @@
         for attempt in self.core.tick(now, self._read_input()):
             self._log_unanswered_attempt(attempt)
         self.forwarder.perform(self.core.take_actions())
+        overdue_log.write(self.log, self.core.overdue.take_events())
 
     def _start_health_checks(self, now: float) -> None:
         for server in self.core.due_checks(now):
@@ -233,14 +235,17 @@
             self._stop(now)
 
     def _read_input(self) -> bool:
-        """Handle the packets that arrived while first packets time out.
+        """Handle the packets that arrived while answers time out.
 
         A host that is short of processor time has answers in its socket that
         it has not read yet.
 
         :returns: whether all packets were handled.
         """
-        if self.core.table.oldest_unanswered() is None:
+        if (
+            self.core.table.oldest_unanswered() is None
+            and not self.core.overdue.needs_input(self.loop.now())
+        ):
             return True
         return self.forwarder.read()
 
--- a/vanilladrum/daemons/health_checks.py
+++ b/vanilladrum/daemons/health_checks.py
@@ -20,15 +20,21 @@
     """Runs health checks, at most one per server at a time.
 
     :param core: its failure detector receives the results.
+    :param on_result: called after each result.
     :param running: connection of each running check, by server tag.
     """
 
     def __init__(
-        self, loop: loops.Loop, core: flowhost.FlowHost, log: json_log.EventLog
+        self,
+        loop: loops.Loop,
+        core: flowhost.FlowHost,
+        log: json_log.EventLog,
+        on_result: Callable[[], None],
     ) -> None:
         self.loop = loop
         self.core = core
         self.log = log
+        self.on_result = on_result
         self.running: dict[int, streams.Stream] = {}
 
     def start(self, server: backends.Backend) -> None:
@@ -61,6 +67,7 @@
         )
         self.running[server.tag] = stream
         self.core.counters["checks"] += 1
+        self.core.overdue.begin_check(server, self.loop.now())
         stream.send(_request(server, path))
         self.loop.after(
             CHECK_TIMEOUT, self._make_timeout_handler(server, stream)
@@ -86,6 +93,7 @@
             server, healthy, self.loop.now(), reached
         )
         self.log.event("server checked", server=server.name, good=healthy)
+        self.on_result()
 
 
 def _request(server: backends.Backend, path: str) -> bytes:
