Check in the soak that requests do not wait for silent servers

The soak's dark servers refused health checks at once, so that no host ever took one for dead. Servers of clusters with a target latency now have a health endpoint, which drops connections while the server is dark.

The soak counted each reset of an open flow as a violation. That is wrong once dead servers can be recognized. Instead each reset has to fall into a silence of the flow's own server, from 0.5 s after its begin to 1.5 s after its end; the rule is as strict for all other resets. In addition no request of a route with a target may wait longer than 2 s for a silent server while others answer, unless a host was disturbed.

A packet with data that is read after a pause of the host, before its next tick, is no longer refused because of overdue requests.

--- a/tests/test_overdue_limits.py
+++ b/tests/test_overdue_limits.py
@@ -87,6 +87,18 @@
     assert not world.resets
 
 
+def test_packets_read_after_a_pause_are_not_refused_on_earlier_evidence():
+    """Failure: packets are handled before the tick that notices the pause."""
+    world = overdue_world.World(flows=2)
+    world.run(1.0)
+    world.request()
+    world.dead.add(world.server.tag)
+    world.run(2.5)
+    assert len(world.resets) == 1
+    decision = world.callers[1].send(4.0, has_data=True)
+    assert isinstance(decision, flow_types.Forward)
+
+
 @pytest.mark.parametrize("begun", [0.02, 0.2])
 def test_conclusion_after_a_pause_rests_on_checks_after_it(begun):
     """Failure: a check from before the pause counts for half of it."""
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -350,8 +350,9 @@
         request that must not run twice is never reset, because it may have
         run before the server failed.
         """
-        return (
-            packet.has_data
-            and route.repeatable
-            and self.failure_detector.is_presumed_dead(server, now)
-        )
+        if not packet.has_data or not route.repeatable:
+            return False
+        if now - self.last_tick > PROCESS_PAUSE_SECONDS:
+            # This packet may be handled before the tick that ends the pause.
+            self.overdue.restart(now)
+        return self.failure_detector.is_presumed_dead(server, now)
--- a/vanilladrum/standins/flow_caller.py
+++ b/vanilladrum/standins/flow_caller.py
@@ -42,6 +42,25 @@
     BROKEN = "broken"
 
 
+@attrs.define(eq=False)
+class Exchange:
+    """A request on an open flow; times are seconds of the event loop.
+
+    :param tag: tag of the server that accepted the flow.
+    :param sent: when the request was first sent.
+    :param ended: when it was answered, reset or given up.
+    :param served: whether the server has answered.
+    :param was_reset: whether the caller received a reset.
+    """
+
+    request_id: str
+    tag: int
+    sent: float
+    ended: float = 0.0
+    served: bool = False
+    was_reset: bool = False
+
+
 @attrs.define(eq=False)
 class Router:
     """Sends packets to the entry hosts that are ready.
@@ -117,6 +136,7 @@
         flow's own port appears only in its packets.
     :param deadline: seconds until a request is given up.
     :param failures: request id, caller and outcome of each failed request.
+    :param exchanges: requests on flows that were opened.
     """
 
     address: addresses.Address
@@ -124,6 +144,7 @@
     deadline: float = 3.0
     outcomes: collections.Counter = attrs.field(factory=collections.Counter)
     failures: list[str] = attrs.field(factory=list)
+    exchanges: list[Exchange] = attrs.field(factory=list)
     next_port: int = FIRST_PORT
     queues: dict[tuple, asyncio.Queue] = attrs.field(factory=dict)
     endpoint: sockets.Endpoint = attrs.field(init=False)
@@ -208,15 +229,18 @@
             accepted.echo,
             head.encode(),
         )
-        for timeout in REQUEST_TIMEOUTS_SECONDS:
-            self._send(segment)
-            reply = await self._next(queue, timeout)
-            while reply is not None and not reply.data:
-                if reply.flags & packets.RESET:
-                    return FlowOutcome.RESET_WHILE_OPEN
-                reply = await self._next(queue, timeout)
-            if reply is None:
-                continue
+        clock = asyncio.get_running_loop()
+        exchange = Exchange(request_id, accepted.echo, clock.time())
+        self.exchanges.append(exchange)
+        try:
+            reply = await self._await_answer(segment, queue)
+        finally:
+            exchange.ended = clock.time()
+        exchange.served = reply is not None and bool(reply.data)
+        exchange.was_reset = reply is not None and not reply.data
+        if exchange.was_reset:
+            return FlowOutcome.RESET_WHILE_OPEN
+        if reply is not None:
             closing = packets.ACK | packets.FIN
             self._send(attrs.evolve(segment, flags=closing, data=b""))
             self._send(attrs.evolve(segment, flags=packets.ACK, data=b""))
@@ -224,6 +248,24 @@
             return FlowOutcome.SERVED if matches else FlowOutcome.WRONG
         return FlowOutcome.BROKEN
 
+    async def _await_answer(
+        self, segment: flow_packets.Segment, queue: asyncio.Queue
+    ) -> flow_packets.Segment | None:
+        """Send a request until it is answered.
+
+        :returns: the answer, a reset, or None if there is neither.
+        """
+        for timeout in REQUEST_TIMEOUTS_SECONDS:
+            self._send(segment)
+            reply = await self._next(queue, timeout)
+            while reply is not None and not reply.data:
+                if reply.flags & packets.RESET:
+                    return reply
+                reply = await self._next(queue, timeout)
+            if reply is not None:
+                return reply
+        return None
+
     async def _open(
         self,
         source: addresses.Address,
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -9,6 +9,7 @@
 from vanilladrum.daemons import sockets
 from vanilladrum.platform import packet as packets
 from vanilladrum.standins import flow_packets
+from vanilladrum.standins import health_endpoint
 
 # Wire id of the receiving server, at the start of each datagram.
 # A server also accepts zeros.
@@ -24,6 +25,10 @@
     :param callers_port: port at which callers receive packets.
     :param service_seconds: service time of a request.
     :param silent: whether it ignores all packets.
+    :param health: endpoint of its health checks, None if they are refused.
+    :param ended_silences: begin and end of each silence that has ended, in
+        seconds of the event loop.
+    :param silent_since: when the present silence began.
     :param full: whether it takes no new flow, as if it held all it can; it
         then sends nothing.
     :param draining: whether its store entry says that it is draining.
@@ -44,6 +49,9 @@
     callers_port: int
     service_seconds: float = 0.005
     silent: bool = False
+    health: health_endpoint.HealthEndpoint | None = None
+    ended_silences: list[tuple[float, float]] = attrs.field(factory=list)
+    silent_since: float = 0.0
     full: bool = False
     draining: bool = False
     entries_written: int = 0
@@ -63,6 +71,33 @@
             self.address, self._receive
         )
 
+    async def set_silent(self, silent: bool) -> None:
+        """Let the server and its health endpoint respond or not."""
+        if silent == self.silent:
+            return
+        self.silent = silent
+        now = asyncio.get_running_loop().time()
+        if silent:
+            self.silent_since = now
+        else:
+            self.ended_silences.append((self.silent_since, now))
+        if self.health is None:
+            return
+        if silent:
+            self.health.stop_responding()
+        else:
+            await self.health.start()
+
+    def silences(self) -> list[tuple[float, float]]:
+        """Return begin and end of each silence, infinite for a present one.
+
+        Those that were not begun by :meth:`set_silent` are left out.
+        """
+        if self.silent and self.silent_since:
+            present = (self.silent_since, float("inf"))
+            return [*self.ended_silences, present]
+        return self.ended_silences
+
     @property
     def state(self) -> str:
         """Return the state that the server reports in its store entry."""
