Reset requests whose server's address has been taken by another server

Its response names it, so the check now tells. Ruled out: taking a new entry at the address as proof, since an entry of another writer could then end flows of a live server.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -226,7 +226,9 @@
         )
         await server.start()
         if self.target_ms:
-            server.health = health_endpoint.HealthEndpoint(server.address)
+            server.health = health_endpoint.HealthEndpoint(
+                server.address, server.name
+            )
             await server.health.start()
         self.servers.append(server)
         await self.store.put("servers", server.name, server.store_entry())
--- a/tests/overdue_world.py
+++ b/tests/overdue_world.py
@@ -21,6 +21,7 @@
 
     :param reachable: whether the host reaches servers.
     :param dead: tags of the servers whose hosts do not respond.
+    :param replaced: tags of the servers whose addresses others have taken.
     :param callers: callers with an open flow to the server that fails.
     :param checks: start of each health check, by server tag.
     :param resets: time and action of each reset.
@@ -42,6 +43,7 @@
         self.next_tick = 0.0
         self.reachable = True
         self.dead = set()
+        self.replaced = set()
         self.checks = {}
         self.running = {}
         self.resets = []
@@ -113,7 +115,10 @@
     def end_check(self, server, _, reached):
         """Report the result of a check, as the daemon does."""
         detector = self.host.failure_detector
-        detector.record_check(server, reached, self.now, reached)
+        if reached and server.tag in self.replaced:
+            detector.record_replaced(server, self.now)
+        else:
+            detector.record_check(server, reached, self.now, reached)
         self.next_tick = min(self.next_tick, self.host.next_tick_at(self.now))
 
     def request(self):
--- a/tests/test_overdue.py
+++ b/tests/test_overdue.py
@@ -175,3 +175,35 @@
     assert detector.health_status(world.server, 2.4) is HealthStatus.GOOD
     world.run(5.5)
     assert not world.resets
+
+
+def test_request_is_reset_once_another_server_has_the_address():
+    """Failure: callers wait for a server whose address answers checks."""
+    world = overdue_world.World()
+    world.run(1.0)
+    world.request()
+    world.replaced.add(world.server.tag)
+    world.run(1.0 + overdue_world.TARGET + 0.1)
+    ((when, action),) = world.resets
+    assert action.reason == "server_dead"
+    assert when >= 1.0 + overdue_world.TARGET
+    assert len(world.checks[world.server.tag]) == 1
+    # A request that is sent later is refused without another check.
+    decision = world.caller.send(world.now, has_data=True)
+    assert isinstance(decision, flow_types.Reset)
+    status = world.host.failure_detector.health_status(world.server, world.now)
+    assert status is HealthStatus.DOUBTED
+    world.run(world.now + 3.0)
+    assert len(world.checks[world.server.tag]) == 1
+
+
+def test_new_run_of_a_replaced_server_is_used():
+    """Failure: a server that starts again under its name stays dead."""
+    world = overdue_world.World()
+    world.host.failure_detector.record_replaced(world.server, 0.5)
+    again = flow_factories.make_server(1, started=world.server.started + 1)
+    world.host.directory.update(again)
+    world.run(1.0)
+    detector = world.host.failure_detector
+    assert detector.health_status(again, 1.0) is HealthStatus.GOOD
+    assert not detector.is_presumed_dead(again, 1.0)
--- a/tests/test_overdue_processes.py
+++ b/tests/test_overdue_processes.py
@@ -130,6 +130,25 @@
     assert any(host.logged_events("request overdue") for host in cluster.hosts)
 
 
+async def test_requests_at_replaced_servers_are_reset(targeted_cluster):
+    """Failure: a check reaches the server that has taken the address."""
+    cluster = targeted_cluster
+
+    async def replace(server):
+        server.silent = True
+        server.health.instance = "i-ffffffff"
+
+    outcomes, _ = await run_requests(cluster, replace)
+    assert outcomes == [FlowOutcome.RESET_WHILE_OPEN] * REQUESTS
+    await asyncio.sleep(0.3)
+    logged = [
+        event["other"]
+        for host in cluster.hosts
+        for event in host.logged_events("server replaced")
+    ]
+    assert set(logged) == {"i-ffffffff"}
+
+
 async def test_requests_at_slow_servers_are_answered(targeted_cluster):
     """Failure: an open flow is reset although its server is alive."""
 
--- a/vanilladrum/core/failure_detector.py
+++ b/vanilladrum/core/failure_detector.py
@@ -226,6 +226,13 @@
             record.health.ejected_until = now
         self._clear_silent_servers(server)
 
+    def record_replaced(self, server: backends.Backend, now: float) -> None:
+        """Record that another server has answered a server's health check.
+
+        :param now: monotonic seconds.
+        """
+        self.unreached.record_replaced(server, now)
+
     def due_checks(self, now: float) -> list[backends.Backend]:
         """Return the suspect servers whose health check is due.
 
--- a/vanilladrum/core/overdue/unreached_servers.py
+++ b/vanilladrum/core/overdue/unreached_servers.py
@@ -37,6 +37,7 @@
     :param next_check: when the next check is due.
     :param offered_until: time before which the check is not offered again.
     :param reported: whether the server was reported as dead.
+    :param replaced: whether another server has answered at its address.
     """
 
     def __init__(self, server: backends.Backend, now: float) -> None:
@@ -49,6 +50,7 @@
         self.next_check = now
         self.offered_until = float("-inf")
         self.reported = False
+        self.replaced = False
         self.starts: collections.deque[float] = collections.deque(
             maxlen=MAX_CHECKS
         )
@@ -157,6 +159,21 @@
         record.unreached += 1
         record.last_ended = now
 
+    def record_replaced(self, server: backends.Backend, now: float) -> None:
+        """Record that another server has answered a check of a server.
+
+        An address is given to another server only after the first one has
+        ended, so this needs no further evidence.
+
+        :param now: monotonic seconds.
+        """
+        self._running.pop(server.tag, None)
+        self.record_overdue(server, now)
+        record = self.records[server.tag]
+        if not record.replaced:
+            record.replaced = True
+            record.unreached_since = now
+
     def restart(self) -> None:
         """Discard all unreached checks, after a pause of the process.
 
@@ -169,7 +186,9 @@
     def is_unreached(self, server: backends.Backend) -> bool:
         """Return whether the last check did not reach a server's host."""
         record = self.find(server)
-        return record is not None and record.unreached > 0
+        if record is None:
+            return False
+        return record.replaced or record.unreached > 0
 
     def is_dead(self, server: backends.Backend, now: float) -> bool:
         """Return whether the checks show that a server is dead or cut off.
@@ -177,7 +196,11 @@
         :param now: monotonic seconds.
         """
         record = self.find(server)
-        if record is None or not self._is_confirmed(record):
+        if record is None:
+            return False
+        if record.replaced:
+            return True
+        if not self._is_confirmed(record):
             return False
         return now - record.unreached_since >= self.min_seconds
 
@@ -211,7 +234,11 @@
         due = float("inf")
         for record in self.records.values():
             due = min(due, self._due_at(record, is_needed))
-            if self._is_confirmed(record) and not record.reported:
+            if record.reported:
+                continue
+            if record.replaced:
+                due = min(due, record.unreached_since)
+            elif self._is_confirmed(record):
                 due = min(due, record.unreached_since + self.min_seconds)
         return due
 
@@ -229,7 +256,7 @@
         is_needed: Callable[[backends.Backend], bool],
     ) -> float:
         """Return when a record is due for a check or to be forgotten."""
-        if record.server.tag in self._running:
+        if record.replaced or record.server.tag in self._running:
             return float("inf")
         if not record.unreached and not is_needed(record.server):
             return record.next_check + FORGET_SECONDS
--- a/vanilladrum/daemons/health_checks.py
+++ b/vanilladrum/daemons/health_checks.py
@@ -5,6 +5,7 @@
 from vanilladrum.core import backend as backends
 from vanilladrum.core import flowhost
 from vanilladrum.daemons import json_log
+from vanilladrum.platform import health
 from vanilladrum.wire import loop as loops
 from vanilladrum.wire import stream as streams
 
@@ -13,7 +14,6 @@
 # not answer.
 CHECK_TIMEOUT = 0.25
 MAX_CONCURRENT_CHECKS = 32
-_OK_STATUS_LINE = b"HTTP/1.1 200"
 
 
 class HealthChecker:
@@ -48,15 +48,17 @@
             return
         if len(self.running) >= MAX_CONCURRENT_CHECKS:
             return
-        response = bytearray()
+        received = bytearray()
 
         def on_data(data: bytes) -> None:
-            response.extend(data)
-            if len(response) >= len(_OK_STATUS_LINE):
-                self._finish(
-                    server,
-                    bytes(response[: len(_OK_STATUS_LINE)]) == _OK_STATUS_LINE,
-                )
+            received.extend(data)
+            response = health.read_response(bytes(received))
+            if response is None:
+                return
+            if response.server not in ("", server.name):
+                self._finish_replaced(server, response.server)
+                return
+            self._finish(server, response.healthy)
 
         stream = streams.Stream.connect(
             self.loop,
@@ -68,7 +70,7 @@
         self.running[server.tag] = stream
         self.core.counters["checks"] += 1
         self.core.overdue.begin_check(server, self.loop.now())
-        stream.send(_request(server, path))
+        stream.send(health.make_request(server.address, path))
         self.loop.after(
             CHECK_TIMEOUT, self._make_timeout_handler(server, stream)
         )
@@ -95,9 +97,9 @@
         self.log.event("server checked", server=server.name, good=healthy)
         self.on_result()
 
-
-def _request(server: backends.Backend, path: str) -> bytes:
-    return (
-        f"GET {path} HTTP/1.1\r\nHost: {server.address}\r\n"
-        "Connection: close\r\n\r\n"
-    ).encode()
+    def _finish_replaced(self, server: backends.Backend, other: str) -> None:
+        """End a check that another server has answered."""
+        self.running.pop(server.tag).close()
+        self.core.failure_detector.record_replaced(server, self.loop.now())
+        self.log.event("server replaced", server=server.name, other=other)
+        self.on_result()
--- a/vanilladrum/standins/health_endpoint.py
+++ b/vanilladrum/standins/health_endpoint.py
@@ -7,7 +7,7 @@
 
 from vanilladrum.core import address as addresses
 
-_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Instance-Id: {}\r\n\r\n"
 
 
 @attrs.define(eq=False)
@@ -18,9 +18,11 @@
     callers time out instead of being refused.
 
     :param address: endpoint that it listens at.
+    :param instance: name of the server that its responses give.
     """
 
     address: addresses.Address
+    instance: str
     _server: asyncio.Server | None = None
     _sockets: list[socket.socket] = attrs.field(factory=list)
 
@@ -58,5 +60,5 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.read(1024)
-        writer.write(_RESPONSE)
+        writer.write(_RESPONSE.format(self.instance).encode())
         writer.close()
