Use own servers sooner in an evacuated data centre that is cut off

Followers do not call the store, so they did not notice that it was gone, and digests from before the cut, valid for 20 s, said that others still watched it. A host that reaches no other data centre now pings the store, and digests count from 2.5 s after its loss only. The test of a local host that watches hears the digest after that time; before, it cannot tell a host that is cut off as well.

--- a/vanilladrum/core/evacuation/rule.py
+++ b/vanilladrum/core/evacuation/rule.py
@@ -4,6 +4,11 @@
 from vanilladrum.core import failure_detector as failure_detectors
 from vanilladrum.core import neighbours as neighbour_tables
 
+# Time in seconds in which a host that watches the store notices that it is cut
+# off from it: the timeout of a watch. A digest that was sent earlier may still
+# say that its sender watches the store.
+LOSS_NOTICE_SECONDS = 2.5
+
 
 class EvacuationRule:
     """Applies the evacuations in force to the server directory.
@@ -31,6 +36,9 @@
         self.failure_detector = failure_detector
         self.in_force: dict[str, float] = {}
         self.uses_own_servers = False
+        # Since when the store does not answer this host, monotonic seconds;
+        # infinite while it does.
+        self.store_lost_at = float("inf")
 
     def set_names(self, names: frozenset[str], now: float) -> list[str]:
         """Replace the evacuations in force.
@@ -55,10 +63,13 @@
         :param now: monotonic seconds.
         :returns: whether the decision differs from the one before.
         """
+        if not store_unreachable:
+            self.store_lost_at = float("inf")
+        elif self.store_lost_at > now:
+            self.store_lost_at = now
         isolated = (
             store_unreachable
-            and self.data_centre in self.in_force
-            and self._reaches_no_other_data_centre()
+            and self.may_be_isolated()
             and not self._local_host_watches(now)
         )
         if isolated == self.uses_own_servers:
@@ -67,6 +78,16 @@
         self._update_directory()
         return True
 
+    def may_be_isolated(self) -> bool:
+        """Return whether the store's answer decides about the isolation.
+
+        That is, the own data centre is evacuated and no other one is reached.
+        """
+        return (
+            self.data_centre in self.in_force
+            and self._reaches_no_other_data_centre()
+        )
+
     def _update_directory(self) -> None:
         names = set(self.in_force)
         if self.uses_own_servers:
@@ -102,8 +123,15 @@
         )
 
     def _local_host_watches(self, now: float) -> bool:
-        """Return whether another host of the data centre watches the store."""
-        return any(
-            self.neighbours.digest(host).watching
-            for host in self.neighbours.valid_local_hosts(now)
-        )
+        """Return whether another host of the data centre watches the store.
+
+        Digests that were sent before their sender could notice the loss of
+        the store do not count.
+        """
+        from_then_on = self.store_lost_at + LOSS_NOTICE_SECONDS
+        for host in self.neighbours.valid_local_hosts(now):
+            if self.neighbours.hosts[host].last_digest_at < from_then_on:
+                continue
+            if self.neighbours.digest(host).watching:
+                return True
+        return False
--- a/vanilladrum/daemons/evacuation_sync.py
+++ b/vanilladrum/daemons/evacuation_sync.py
@@ -83,8 +83,9 @@
         """End what a restore has held long enough; judge the isolation."""
         now = self.loop.now()
         self._apply(now)
-        unreachable = self.source_selector.store_monitor.unreachable
-        if self.core.evacuation.update(unreachable, now):
+        store_monitor = self.source_selector.store_monitor
+        store_monitor.in_doubt = self.core.evacuation.may_be_isolated()
+        if self.core.evacuation.update(store_monitor.unreachable, now):
             suspended = self.core.evacuation.uses_own_servers
             self.log.event(
                 "evacuation suspended" if suspended else "evacuation resumed",
--- a/vanilladrum/daemons/store_monitor.py
+++ b/vanilladrum/daemons/store_monitor.py
@@ -13,6 +13,8 @@
 RETRY_DELAYS = (0.2, 0.3, 0.4, 0.6)
 # A watched store is pinged when it has not answered for this long, in seconds.
 IDLE_SECONDS = 1.0
+# The same for a store in doubt.
+DOUBT_IDLE_SECONDS = 0.25
 # Entries that expired during an outage of the store are registered again
 # within this time after it ends, in seconds, if their servers are alive.
 REREGISTRATION_SECONDS = 2.5
@@ -30,6 +32,8 @@
     :param unreachable: whether the last call to the store failed.
     :param watches_store: whether this host watches the store at present; only
         then is an idle store pinged.
+    :param in_doubt: whether this host may be cut off from the store; it is
+        then pinged even if another host is followed.
     :param on_recovered: called when the store answers after an outage.
     :param on_restored: called when an answer shows that the store was
         restored from a copy.
@@ -47,6 +51,7 @@
         self.restored_at = float("-inf")
         self.unreachable = False
         self.watches_store = False
+        self.in_doubt = False
         self.on_recovered: Callable[[], None] = lambda: None
         self.on_restored: Callable[[], None] = lambda: None
         self._failures = 0
@@ -118,16 +123,21 @@
     def tick(self) -> None:
         """Ping the store if it was idle for too long or a retry is due."""
         now = self.loop.now()
-        idle = self.watches_store and now - self.last_answer_at >= IDLE_SECONDS
         if (
             self._ping_pending
-            or not (idle or self.unreachable)
+            or not (self._is_idle(now) or self.unreachable)
             or now < self._next_ping
         ):
             return
         self._ping_pending = True
         self.store.ping(self._on_ping_result)
 
+    def _is_idle(self, now: float) -> bool:
+        """Return whether the store has not answered for too long."""
+        if self.in_doubt:
+            return now - self.last_answer_at >= DOUBT_IDLE_SECONDS
+        return self.watches_store and now - self.last_answer_at >= IDLE_SECONDS
+
     def _on_ping_result(
         self, outcome: stores.PingReply | errors.PlatformError
     ) -> None:
