--- a/tests/test_overdue.py
+++ b/tests/test_overdue.py
@@ -207,3 +207,14 @@
     detector = world.host.failure_detector
     assert detector.health_status(again, 1.0) is HealthStatus.GOOD
     assert not detector.is_presumed_dead(again, 1.0)
+
+
+def test_answer_shows_that_a_server_was_not_replaced():
+    """Failure: a live server whose responses name another one stays dead."""
+    world = overdue_world.World()
+    detector = world.host.failure_detector
+    detector.record_replaced(world.server, 0.5)
+    detector.record_answer(world.server, 0.8, sent=0.4)
+    assert detector.is_presumed_dead(world.server, 0.8)
+    detector.record_answer(world.server, 0.9, sent=0.6)
+    assert not detector.is_presumed_dead(world.server, 0.9)
--- a/vanilladrum/core/balance.py
+++ b/vanilladrum/core/balance.py
@@ -79,7 +79,7 @@
         """
         others = [each for each in servers if each is not excluded]
         eligible = self._eligible(others or servers, now)
-        if not eligible:
+        if not eligible and len(others) != len(servers):
             # Cold servers may be full; the excluded one is the last resort.
             eligible = self._eligible(servers, now)
         if not eligible:
@@ -101,6 +101,8 @@
         :param now: monotonic seconds.
         :param excluded: see :meth:`choose`.
         """
+        if self.warm_up and self.warm_up.budget.has_cold:
+            self.warm_up.observe(pool, now)
         candidates: list[backends.Backend] = []
         for _ in range(MAX_SAMPLES):
             candidates += pool.candidates(self.data_centre, self.rng)
--- a/vanilladrum/core/evacuation/rule.py
+++ b/vanilladrum/core/evacuation/rule.py
@@ -8,6 +8,9 @@
 # off from it: the timeout of a watch. A digest that was sent earlier may still
 # say that its sender watches the store.
 LOSS_NOTICE_SECONDS = 2.5
+# Time in seconds for which the store must not have answered: a second ping has
+# failed by then, so that one slow answer does not suspend an evacuation.
+MIN_LOST_SECONDS = 0.5
 
 
 class EvacuationRule:
@@ -68,7 +71,7 @@
         elif self.store_lost_at > now:
             self.store_lost_at = now
         isolated = (
-            store_unreachable
+            now - self.store_lost_at >= MIN_LOST_SECONDS
             and self.may_be_isolated()
             and not self._local_host_watches(now)
         )
--- a/vanilladrum/core/hedging/host.py
+++ b/vanilladrum/core/hedging/host.py
@@ -161,7 +161,8 @@
             flow = opening.flow
             first = opening.server
             route = self.configuration.routes.get(packet.service)
-            if flow.ended or route is None:
+            if flow.ended or route is None or flow.sent != opening.sent:
+                # Ended, or the packet was sent again meanwhile.
                 continue
             if not self.hedge_policy.covers(route, first.service):
                 continue
--- a/vanilladrum/core/overdue/unreached_servers.py
+++ b/vanilladrum/core/overdue/unreached_servers.py
@@ -110,8 +110,13 @@
         """
         self.last_reached = max(self.last_reached, sent)
         record = self.find(server)
-        if record is not None:
-            record.end_sequence()
+        if record is None:
+            return
+        if record.replaced and sent > record.unreached_since:
+            # The response that named another server was wrong.
+            self.remove(server)
+            return
+        record.end_sequence()
 
     def begin_check(self, server: backends.Backend, now: float) -> bool:
         """Record the start of a check, whatever the reason for it.
--- a/vanilladrum/core/selection/opener.py
+++ b/vanilladrum/core/selection/opener.py
@@ -60,11 +60,13 @@
             # A late copy of the packet that opened the flow.
             return flows.Ignore("late_first_packet")
         if same_server is not None:
-            return self._refuse_repeat(packet)
+            # Its server has answered others, so the flow may be open by now
+            # and is not reset.
+            return flows.Ignore("warming_up")
         service = self.service_for_copy(flow, route)
         server = self.choose(service, now, excluded=flow.server)
         if server is None:
-            return flows.Reset(self.refusal_reason(service))
+            return self._refuse_copy(packet, self.refusal_reason(service))
         self.counters["moved_first_packets"] += 1
         self.table.resend(flow, server, now)
         return self._forward(server, now)
@@ -148,21 +150,21 @@
     def _may_repeat(self, server: backends.Backend, now: float) -> bool:
         """Return whether a copy of a first packet may go to its server.
 
-        A cold server without budget gets it only if a new flow of its service
-        would go to such a server as well.
+        A cold server without budget gets it only if its service names no rate.
         """
         if not self.warm_up or self.warm_up.may_send(server, now):
             return True
-        other = self.choose(server.service, now)
-        return other is not None and not self.warm_up.may_send(other, now)
+        return not self.warm_up.has_rate(server.service)
 
-    def _refuse_repeat(self, packet: flows.Packet) -> flows.Decision:
-        """Return the decision on a copy that its cold server may not get.
+    def _refuse_copy(
+        self, packet: flows.Packet, reason: str
+    ) -> flows.Decision:
+        """Return the decision on a copy for which there is no server.
 
-        It does not go to another server, because both might answer the
-        caller. A reset would end the opening while the first packet is on its
-        way, so a copy that the caller did not send is dropped.
+        The first packet was sent to a server that does not accept new flows
+        any more. A copy that the caller did not send is dropped, because the
+        answer to the first packet may be on its way.
         """
-        if packet.copies:
-            return flows.Reset("warming_up")
-        return flows.Ignore("warming_up")
+        if packet.copies or reason == "no_server":
+            return flows.Reset(reason)
+        return flows.Ignore(reason)
--- a/vanilladrum/core/warmup/budget.py
+++ b/vanilladrum/core/warmup/budget.py
@@ -98,8 +98,9 @@
             self._cold_until.pop(server.name, None)
             return False
         until = now + server.warm_up
+        if server.name not in self._cold_until:
+            heapq.heappush(self._expiries, (until, server.name))
         self._cold_until[server.name] = until
-        heapq.heappush(self._expiries, (until, server.name))
         return not was_cold
 
     def data_centre_returned(self, name: str, now: float) -> None:
@@ -174,8 +175,12 @@
         self.members.observe(now)
         while self._expiries and self._expiries[0][0] <= now:
             _, name = heapq.heappop(self._expiries)
-            if self._cold_until.get(name, float("inf")) <= now:
-                del self._cold_until[name]
+            until = self._cold_until.get(name, now)
+            if until > now:
+                # A later entry has made it longer.
+                heapq.heappush(self._expiries, (until, name))
+                continue
+            self._cold_until.pop(name, None)
         while self._sent:
             name, sent = next(iter(self._sent.items()))
             if now - sent[-1] <= WINDOW_SECONDS:
--- a/vanilladrum/core/warmup/preference.py
+++ b/vanilladrum/core/warmup/preference.py
@@ -13,6 +13,12 @@
 # and a short queue. Without this bound the first warm server of a service
 # whose servers have all restarted would get the whole load. Not measured.
 MAX_REQUESTS_PER_SLOT = 3.0
+# If fewer of a service's servers are warm, they are not left to carry its
+# whole load: a host of a large fleet does not see that they are full.
+MIN_WARM_SHARE = 0.25
+# How long the share of warm servers is kept before it is counted again, in
+# seconds.
+SHARE_SECONDS = 0.5
 
 
 class Preference:
@@ -33,6 +39,29 @@
         self.budget = budget
         self.failure_detector = failure_detector
         self.load = load
+        # Services most of whose servers are cold, and when each service was
+        # last counted.
+        self._mostly_cold: set[str] = set()
+        self._counted_at: dict[str, float] = {}
+
+    def observe(self, pool: backends.ServerPool, now: float) -> None:
+        """Count the warm servers of a service from time to time.
+
+        :param pool: servers of the service that accept new flows.
+        :param now: monotonic seconds.
+        """
+        if not pool.servers:
+            return
+        service = pool.servers.items[0].service
+        counted_at = self._counted_at.get(service, float("-inf"))
+        if 0 <= now - counted_at < SHARE_SECONDS:
+            return
+        self._counted_at[service] = now
+        warm = sum(not self.budget.is_cold(each, now) for each in pool.servers)
+        if warm < MIN_WARM_SHARE * len(pool.servers):
+            self._mostly_cold.add(service)
+        else:
+            self._mostly_cold.discard(service)
 
     def eligible(
         self, servers: list[backends.Backend], now: float
@@ -49,6 +78,8 @@
         """
         if not any(self.budget.is_cold(each, now) for each in servers):
             return self._with_best_status(servers, now)
+        if self._ignores_budget(servers):
+            return self._with_best_status(servers, now)
         permitted = [
             each for each in servers if self.budget.may_send(each, now)
         ]
@@ -75,9 +106,10 @@
         :param now: monotonic seconds.
         """
         good = failure_detectors.HealthStatus.GOOD
+        any_good = self._ignores_budget(servers)
         return any(
             self.failure_detector.health_status(each, now) is good
-            and not self.budget.is_cold(each, now)
+            and (any_good or not self.budget.is_cold(each, now))
             for each in servers
         )
 
@@ -86,6 +118,8 @@
 
         :param now: monotonic seconds.
         """
+        if self._ignores_budget(servers):
+            return True
         return any(
             self.budget.may_send(each, now) and self._is_usable(each, now)
             for each in servers
@@ -106,6 +140,16 @@
             return False
         return not self.failure_detector.is_presumed_dead(server, now)
 
+    def _ignores_budget(self, servers: list[backends.Backend]) -> bool:
+        """Return whether cold servers are used like warm ones.
+
+        So it is if the service names no rate and its other servers could not
+        carry the load.
+        """
+        if not servers or self._has_rate(servers):
+            return False
+        return servers[0].service in self._mostly_cold
+
     def _has_rate(self, servers: list[backends.Backend]) -> bool:
         return any(self.budget.has_rate(each.service) for each in servers)
 
--- a/vanilladrum/daemons/evacuation_sync.py
+++ b/vanilladrum/daemons/evacuation_sync.py
@@ -85,7 +85,8 @@
         self._apply(now)
         store_monitor = self.source_selector.store_monitor
         store_monitor.in_doubt = self.core.evacuation.may_be_isolated()
-        if self.core.evacuation.update(store_monitor.unreachable, now):
+        no_path = store_monitor.unreachable and not store_monitor.refused
+        if self.core.evacuation.update(no_path, now):
             suspended = self.core.evacuation.uses_own_servers
             self.log.event(
                 "evacuation suspended" if suspended else "evacuation resumed",
--- a/vanilladrum/daemons/health_checks.py
+++ b/vanilladrum/daemons/health_checks.py
@@ -55,7 +55,7 @@
             response = health.read_response(bytes(received))
             if response is None:
                 return
-            if response.server not in ("", server.name):
+            if self._is_replaced(server, response):
                 self._finish_replaced(server, response.server)
                 return
             self._finish(server, response.healthy)
@@ -65,22 +65,40 @@
             server.address,
             on_data,
             # The server's host has refused or ended the connection.
-            lambda _: self._finish(server, False),
+            lambda _: self._finish(server, health.is_ok(bytes(received))),
         )
         self.running[server.tag] = stream
         self.core.counters["checks"] += 1
         self.core.overdue.begin_check(server, self.loop.now())
         stream.send(health.make_request(server.address, path))
         self.loop.after(
-            CHECK_TIMEOUT, self._make_timeout_handler(server, stream)
+            CHECK_TIMEOUT,
+            self._make_timeout_handler(server, stream, received),
         )
 
+    def _is_replaced(
+        self, server: backends.Backend, response: health.HealthResponse
+    ) -> bool:
+        """Return whether another server has answered a server's check.
+
+        Only where requests of the server are overdue: otherwise nothing waits
+        for the answer to this question.
+        """
+        if response.server in ("", server.name):
+            return False
+        detector = self.core.failure_detector
+        return detector.unreached.find(server) is not None
+
     def _make_timeout_handler(
-        self, server: backends.Backend, stream: streams.Stream
+        self,
+        server: backends.Backend,
+        stream: streams.Stream,
+        received: bytearray,
     ) -> Callable[[], None]:
         def on_timeout() -> None:
             if self.running.get(server.tag) is stream:
-                self._finish(server, False, reached=stream.connected)
+                is_ok = health.is_ok(bytes(received))
+                self._finish(server, is_ok, reached=stream.connected)
 
         return on_timeout
 
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -160,9 +160,7 @@
         elif isinstance(outcome, errors.AnswerTooLargeError):
             self._handle_too_large()
             return
-        elif (
-            isinstance(outcome, errors.NotServedError) and not self.is_required
-        ):
+        elif self._is_not_served(outcome):
             self._handle_not_served()
             return
         elif isinstance(outcome, errors.PlatformError):
@@ -188,6 +186,18 @@
         self._needs_listing = True
         self._call_source(whole=True)
 
+    def _is_not_served(self, outcome: Any) -> bool:
+        """Return whether a source does not serve a kind that is optional.
+
+        An unexpected status is no reason to give up a source that answers the
+        other kinds.
+        """
+        if self.is_required or not isinstance(outcome, errors.PlatformError):
+            return False
+        return not isinstance(
+            outcome, (errors.StoreTimeoutError, errors.StoreRejectedError)
+        )
+
     def _handle_not_served(self) -> None:
         """List at the store what the followed host does not serve.
 
--- a/vanilladrum/daemons/store_monitor.py
+++ b/vanilladrum/daemons/store_monitor.py
@@ -30,6 +30,8 @@
         first answer.
     :param restored_at: when a restore was noticed last, in monotonic seconds.
     :param unreachable: whether the last call to the store failed.
+    :param refused: whether the store has refused the last failed call, which
+        shows that there is a path to it.
     :param watches_store: whether this host watches the store at present; only
         then is an idle store pinged.
     :param in_doubt: whether this host may be cut off from the store; it is
@@ -50,6 +52,7 @@
         self.era = 0
         self.restored_at = float("-inf")
         self.unreachable = False
+        self.refused = False
         self.watches_store = False
         self.in_doubt = False
         self.on_recovered: Callable[[], None] = lambda: None
@@ -95,6 +98,7 @@
         delay = RETRY_DELAYS[min(self._failures, last)]
         self._next_ping = self.loop.now() + delay
         self._failures += 1
+        self.refused = isinstance(error, errors.StoreRejectedError)
         if self.unreachable:
             return
         self.unreachable = True
--- a/vanilladrum/platform/health.py
+++ b/vanilladrum/platform/health.py
@@ -33,6 +33,11 @@
     ).encode()
 
 
+def is_ok(received: bytes) -> bool:
+    """Return whether a response, of which a part may be missing, is good."""
+    return received.startswith(_OK_STATUS_LINE)
+
+
 def read_response(received: bytes) -> HealthResponse | None:
     """Return the response, None while its headers are incomplete.
 
@@ -51,4 +56,4 @@
         if not line.lower().startswith(_INSTANCE_HEADER):
             continue
         server = line[len(_INSTANCE_HEADER) :].decode("latin-1").strip()
-    return HealthResponse(headers.startswith(_OK_STATUS_LINE), server)
+    return HealthResponse(is_ok(headers), server)
