Check configurations of flows, warn of mistakes, compare by meaning

`vanilladrum check` validated printed TOML files only and knew valid or not. Configurations of the users' platform could not be checked before they were sent, and mistakes that entry hosts accept (a route hidden by another one, a target above the time limit) were found in operation.

The check now reads JSON files as well. A listing of the configuration keeps all entries and has a problem with its key for each invalid value. It uses the converters of parse_configuration, which become public for that. The errors are exactly what entry hosts refuse; a property test compares both. All other findings are warnings (exit code 1).

Ruled out: - parse_configuration alone: it stops at the first error without its key, and keeps one route for each address, so that hidden routes cannot be seen. - Errors for contradictions and hidden entries: entry hosts accept them, and a weight of 0 is used while a service is drained. - Warnings while there are errors: entries with an error are left out, and references to them would look unresolved. - Warnings on unknown fields: the platform may have fields that entry hosts do not read. - A warning on a priority that no route has, for flows: nothing but routes names priorities there. For the request mode it is an objective without a route. - Reading a file twice to find out its kind: it may be a pipe, which worked before and still does. - Decimal places when shares are compared: the smallest share would equal a weight of 0. 12 significant digits remain.

Summary line and error text of printed files without warnings are unchanged.

The whole suite was not run.

--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -16,6 +16,7 @@
 from vanilladrum.daemons import settings as settings_module
 from vanilladrum.operator import change
 from vanilladrum.operator import commands
+from vanilladrum.operator import configuration_check
 from vanilladrum.operator import report as reports
 from vanilladrum.standins import backend
 from vanilladrum.standins import fabric
@@ -97,12 +98,22 @@
         """
         uvloop.run(commands.show_difference(printed, platform))
 
-    def check(self, printed: str) -> None:
-        """Validate a printed configuration as entry hosts do.
+    def check(
+        self, printed: str, against: str | None = None, json: bool = False
+    ) -> None:
+        """Validate a configuration as entry hosts do, and look for mistakes.
 
-        :param printed: path of the printed TOML.
+        Exit codes: 0 if it is good, 1 if there are only warnings, 2 if there
+        are errors.
+
+        :param printed: path of the printed TOML, or of a JSON file with a
+            configuration of the users' platform.
+        :param against: path of another version; the differences are shown.
+        :param json: whether to print the result as JSON.
         """
-        commands.check(printed)
+        code = configuration_check.check(printed, against, json)
+        if code:
+            sys.exit(code)
 
     def apply(
         self, printed: str, platform: str, timeout: float = 30.0
--- a/vanilladrum/operator/change.py
+++ b/vanilladrum/operator/change.py
@@ -139,13 +139,32 @@
     :raises ConfigurationError: if the file is not valid; the message gives
         the path, the key and a remedy.
     """
+    return parse_printed(read_text(path, "name a printed TOML file"), path)
+
+
+def read_text(path: str, remedy: str) -> str:
+    """Return the text of a file.
+
+    :param remedy: end of the error message.
+    :raises ConfigurationError: if the file cannot be read.
+    """
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-        content = tomllib.loads(text)
+        return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise errors.ConfigurationError(
-            f"{path}: cannot be read ({error}); name a printed TOML file"
+            f"{path}: cannot be read ({error}); {remedy}"
         ) from error
+
+
+def parse_printed(text: str, path: str) -> dict:
+    """Convert the text of a printed configuration to a document.
+
+    :param path: path of the file, for error messages.
+    :raises ConfigurationError: if the text is not valid; the message gives
+        the path, the key and a remedy.
+    """
+    try:
+        content = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise errors.ConfigurationError(
             f"{path}: is not valid TOML ({error}); print it again"
--- /dev/null
+++ b/vanilladrum/operator/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of configurations; they do no I/O."""
--- a/vanilladrum/operator/commands.py
+++ b/vanilladrum/operator/commands.py
@@ -44,13 +44,6 @@
     print(change.difference(stored.content, printed) or "no difference")
 
 
-def check(path: str) -> None:
-    """Validate a printed configuration and print a summary of it."""
-    fleet = change.check(change.read_printed(path), path)
-    servers = sum(len(service.servers) for service in fleet.services)
-    print(f"{path}: {len(fleet.services)} services, {servers} servers: good")
-
-
 async def apply(path: str, url: str, timeout: float) -> None:
     """Apply a printed configuration and wait until it is in force."""
     printed = change.read_printed(path)
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -38,7 +38,7 @@
 }
 # Errors that a missing or invalid value raises during conversion. Their
 # messages name types and bounds but not the value, which may be of any size.
-_CONVERSION_ERRORS = (
+CONVERSION_ERRORS = (
     KeyError,
     TypeError,
     ValueError,
@@ -170,7 +170,7 @@
             warm_up=warm_up_ms * SECONDS_PER_MS,
             sequence=expect_int(content["sequence"], 0, MAX_INTEGER),
         )
-    except _CONVERSION_ERRORS as error:
+    except CONVERSION_ERRORS as error:
         raise errors.PlatformError(
             f"entry {entry.name!r} names no server ({error!r}); it is ignored "
             "until it is corrected"
@@ -186,26 +186,26 @@
         content = entry.content
         routes_by_address = {}
         for each in expect_list(content["routes"]):
-            routes_by_address[_route_key(each)] = _route(each)
+            routes_by_address[route_key(each)] = read_route(each)
         limits = content["limits"]
         return routes.FlowConfiguration(
             generation=expect_int(content["version"], 1, MAX_INTEGER),
             routes=routes_by_address,
-            idle_timeout=_expect_duration(limits["idle-timeout-ms"]),
+            idle_timeout=expect_duration(limits["idle-timeout-ms"]),
             health_paths={
-                expect_text(each["name"]): _expect_path(
+                expect_text(each["name"]): expect_path(
                     each["health-check-path"]
                 )
                 for each in expect_list(content["services"])
             },
             era=entry.era,
             warm_ups={
-                expect_text(each["name"]): _warm_up(each)
+                expect_text(each["name"]): read_warm_up(each)
                 for each in expect_list(content["services"])
                 if "warmup-s" in each
             },
         )
-    except _CONVERSION_ERRORS as error:
+    except CONVERSION_ERRORS as error:
         raise errors.PlatformError(
             f"configuration {entry.name!r} cannot be read ({error!r}); the "
             "one in force stays; correct it and apply it again"
@@ -224,7 +224,7 @@
     return endpoint
 
 
-def _route_key(route: dict) -> bytes:
+def route_key(route: dict) -> bytes:
     """Return the packed address and port of a route, 6 bytes."""
     # The address of a route is split into two fields: the host is an IP
     # address, and the path prefix is a port between slashes.
@@ -233,7 +233,11 @@
     return _parse_endpoint(f"{host}:{port}").pack()
 
 
-def _route(route: dict) -> routes.Route:
+def read_route(route: dict) -> routes.Route:
+    """Convert a route of a configuration.
+
+    :raises KeyError, TypeError, ValueError: when it is invalid.
+    """
     if "service" in route:
         shares: tuple[routes.Share, ...] = (
             routes.Share(expect_text(route["service"])),
@@ -243,7 +247,7 @@
         shares = tuple(
             routes.Share(
                 expect_text(each["service"]),
-                _expect_number(each["weight"], MAX_WEIGHT),
+                expect_number(each["weight"], MAX_WEIGHT),
             )
             for each in expect_list(route["backends"])
         )
@@ -252,17 +256,21 @@
     return routes.Route(
         name=expect_text(route["name"]),
         shares=shares,
-        timeout=_expect_duration(route["timeout-ms"]),
+        timeout=expect_duration(route["timeout-ms"]),
         repeatable=route.get("type") in _REPEATABLE_TYPES,
-        target_latency=_expect_duration(route.get("target-latency-ms", 0)),
+        target_latency=expect_duration(route.get("target-latency-ms", 0)),
         priority=expect_int(route.get("priority", 0), 0, MAX_PRIORITY),
     )
 
 
-def _warm_up(service: dict) -> routes.WarmUp:
+def read_warm_up(service: dict) -> routes.WarmUp:
+    """Convert the warm-up of a service that names one.
+
+    :raises TypeError, ValueError: when it is invalid.
+    """
     return routes.WarmUp(
-        _expect_number(service["warmup-s"], MAX_DURATION_MS * SECONDS_PER_MS),
-        _expect_number(service.get("warmup-per-s", 0), MAX_RATE),
+        expect_number(service["warmup-s"], MAX_DURATION_MS * SECONDS_PER_MS),
+        expect_number(service.get("warmup-per-s", 0), MAX_RATE),
     )
 
 
@@ -283,7 +291,7 @@
     return value
 
 
-def _expect_path(value: object) -> str:
+def expect_path(value: object) -> str:
     """Return the path of a URL, which is sent in a request line.
 
     :raises ValueError: when it is empty or has other characters than ASCII
@@ -329,7 +337,7 @@
     return value
 
 
-def _expect_number(value: object, highest: float) -> float:
+def expect_number(value: object, highest: float) -> float:
     """Return a value that must be a finite number from 0.
 
     :raises TypeError: when it is no number.
@@ -344,6 +352,6 @@
     return float(number)
 
 
-def _expect_duration(value: object) -> float:
+def expect_duration(value: object) -> float:
     """Return a duration in seconds that was written in milliseconds."""
-    return _expect_number(value, MAX_DURATION_MS) * SECONDS_PER_MS
+    return expect_number(value, MAX_DURATION_MS) * SECONDS_PER_MS
