Report output that cannot be written as an error of the check

Python's exit code for it is 1, which stands for warnings here.

Ruled out: handling it in main for all commands, because elsewhere 1 has no meaning of its own.

The whole suite was not run.

--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -1,6 +1,8 @@
 """Tests of the check of a configuration before it is sent."""
 
 import copy
+import errno
+import io
 import json
 import os
 
@@ -100,6 +102,13 @@
     return run_check
 
 
+class ClosedPipe(io.StringIO):
+    """An output whose reader has ended."""
+
+    def write(self, text):
+        raise BrokenPipeError(errno.EPIPE, "Broken pipe")
+
+
 def changed(path, value):
     """Return the good configuration with one value replaced or removed."""
     content = copy.deepcopy(GOOD)
@@ -600,6 +609,18 @@
     assert json.loads(out)["result"] == "errors"
 
 
+# The exit code was 1, as for warnings, when the reader of the output ended.
+@pytest.mark.parametrize("options", [(), ("--json",)])
+def test_output_that_cannot_be_written_is_an_error(
+    write, run, monkeypatch, options
+):
+    path = write("main.json", GOOD)
+    monkeypatch.setattr("sys.stdout", ClosedPipe())
+    code, _, err = run(path, *options)
+    assert code == 2
+    assert "cannot be written" in err
+
+
 def test_differences_do_not_change_the_exit_code(write, run):
     old = write("old.json", GOOD)
     new = write("new.json", changed("routes.0.timeout-ms", 700))
--- a/vanilladrum/operator/configuration_check.py
+++ b/vanilladrum/operator/configuration_check.py
@@ -62,6 +62,7 @@
     :returns: exit code.
     :raises ConfigurationError: if a file cannot be read or, unless ``as_json``
         is set, if a printed configuration is invalid.
+    :raises VanilladrumError: if the result cannot be written.
     """
     try:
         checked = check_file(path)
@@ -80,10 +81,18 @@
         )
         checked = Checked(path, "", [finding], {}, "")
         compared = None
-    if as_json:
-        print(json.dumps(_document(checked, against, compared), indent=2))
-    else:
-        _show(checked, against, compared)
+    try:
+        if as_json:
+            print(json.dumps(_document(checked, against, compared), indent=2))
+        else:
+            _show(checked, against, compared)
+        sys.stdout.flush()
+    except OSError as error:
+        # Python's exit code for it is 1, which here stands for warnings.
+        raise errors.VanilladrumError(
+            f"{path}: the result cannot be written ({error}); run the check "
+            "again and read all of its output"
+        ) from error
     return checked.exit_code
 
 
