--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -5,6 +5,7 @@
 
 from vanilladrum.core import errors
 from vanilladrum.operator import change
+from vanilladrum.operator import in_force
 from vanilladrum.wire import platform as platforms
 
 PLACE = (change.CONFIGURATION_KIND, change.CONFIGURATION_NAME)
@@ -39,13 +40,13 @@
 
 @pytest.fixture
 def platform(monkeypatch):
-    monkeypatch.setattr(change, "POLL_INTERVAL_SECONDS", 0.001)
+    monkeypatch.setattr(in_force, "POLL_INTERVAL_SECONDS", 0.001)
     monkeypatch.setattr(change, "READ_BACK_INTERVAL_SECONDS", 0.001)
     return FakePlatform()
 
 
 async def wait(platform):
-    await change.wait_in_force(
+    await in_force.wait_in_force(
         platform, ["bilbao"], ACCEPTED, 0.05, lambda *_: None
     )
 
@@ -66,10 +67,10 @@
 async def test_change_that_hosts_never_adopt_is_not_confirmed(platform):
     platform.store(5, "own")
     platform.report(7)
-    with pytest.raises(change.NotInForceError, match="not yet reported"):
+    with pytest.raises(in_force.NotInForceError, match="not yet reported"):
         await wait(platform)
     platform.store(7, "other")
-    with pytest.raises(change.NotInForceError, match="print the plan again"):
+    with pytest.raises(in_force.NotInForceError, match="print the plan again"):
         await wait(platform)
 
 
--- a/vanilladrum/__main__.py
+++ b/vanilladrum/__main__.py
@@ -14,9 +14,9 @@
 from vanilladrum.daemons import entry_host as entry_host_daemon
 from vanilladrum.daemons import logs
 from vanilladrum.daemons import settings as settings_module
-from vanilladrum.operator import change
 from vanilladrum.operator import commands
 from vanilladrum.operator import configuration_check
+from vanilladrum.operator import in_force
 from vanilladrum.operator import report as reports
 from vanilladrum.standins import backend
 from vanilladrum.standins import fabric
@@ -28,7 +28,7 @@
 EXIT_SETTINGS = 2
 EXIT_CODES = (
     (errors.ConflictError, 3),
-    (change.NotInForceError, 4),
+    (in_force.NotInForceError, 4),
     (errors.PlatformError, 5),
 )
 # Garbage collection thresholds: allocations between two passes over the
--- a/vanilladrum/operator/change.py
+++ b/vanilladrum/operator/change.py
@@ -1,7 +1,6 @@
 """Printing, comparing and applying configurations."""
 
 import asyncio
-from collections.abc import Callable
 import difflib
 import pathlib
 import secrets
@@ -30,8 +29,6 @@
 # oldest are removed.
 MAX_KEYS = 3
 MAX_OPERATIONS = 32
-# Interval between two reads of the status objects.
-POLL_INTERVAL_SECONDS = 0.2
 # Reads that determine whether an unconfirmed update was accepted.
 READ_BACK_ATTEMPTS = 20
 READ_BACK_INTERVAL_SECONDS = 0.5
@@ -54,10 +51,6 @@
     """The platform did not confirm whether a change was accepted."""
 
 
-class NotInForceError(errors.VanilladrumError):
-    """An accepted change did not come into force everywhere in time."""
-
-
 @attrs.frozen
 class StoredConfiguration:
     """The configuration that the platform stores.
@@ -335,71 +328,6 @@
     return await _store(client, content, stored)
 
 
-async def wait_in_force(
-    client: platforms.PlatformClient,
-    data_centres: list[str],
-    accepted: AcceptedChange,
-    timeout: float,
-    on_progress: Callable[[str, int], None],
-) -> None:
-    """Wait until each data centre reports that a change is in force.
-
-    :param timeout: seconds to wait.
-    :param on_progress: called with data centre and generation on each change.
-    :raises NotInForceError: if the wait times out; the message lists the data
-        centres that are still on an older generation. Also if the platform
-        was restored and the change is lost.
-    :raises PlatformError: if the platform does not answer; the wait ends.
-    """
-    generation = accepted.generation
-    reported: dict[str, int] = {}
-    deadline = time.monotonic() + timeout
-    while time.monotonic() < deadline:
-        for name in data_centres:
-            status_object = await client.get(STATUS_KIND, name)
-            in_force = status_object.value.get("generation", 0)
-            if reported.get(name) != in_force:
-                reported[name] = in_force
-                on_progress(name, in_force)
-        if await _is_in_force(client, accepted, tuple(reported.values())):
-            return
-        await asyncio.sleep(POLL_INTERVAL_SECONDS)
-    lagging = [
-        name for name in data_centres if reported.get(name, 0) < generation
-    ]
-    raise NotInForceError(
-        f"generation {generation} is accepted but not yet reported in "
-        f"force by {lagging or data_centres}; check their entry hosts"
-    )
-
-
-async def _is_in_force(
-    client: platforms.PlatformClient,
-    accepted: AcceptedChange,
-    reported: tuple[int, ...],
-) -> bool:
-    """Return whether a change is in force in all data centres.
-
-    :raises NotInForceError: if the change is lost.
-    """
-    stored = await fetch_stored(client)
-    confirmation = updates.confirm(
-        accepted.operation,
-        accepted.generation,
-        reported,
-        stored.state,
-        tuple(stored.content.get("operations", ())),
-    )
-    if confirmation == updates.Confirmation.LOST:
-        raise NotInForceError(
-            f"generation {accepted.generation} was accepted, but generation "
-            f"{stored.generation} is in force without it, because the "
-            "platform was restored from a backup; print the plan again and "
-            "apply it"
-        )
-    return confirmation == updates.Confirmation.IN_FORCE
-
-
 def _assign_generation(content: dict, stored: StoredConfiguration) -> None:
     """Set the generation and the operation ID of a change."""
     content["generation"] = generations.next_generation(
--- a/vanilladrum/operator/commands.py
+++ b/vanilladrum/operator/commands.py
@@ -5,6 +5,7 @@
 import sys
 
 from vanilladrum.operator import change
+from vanilladrum.operator import in_force
 from vanilladrum import plan as plans
 from vanilladrum.wire import platform as platforms
 
@@ -80,9 +81,9 @@
             host_generations = ", ".join(
                 f"{host}: {number}" for host, number in sorted(hosts.items())
             )
-            in_force = status_object.value.get("generation", 0)
+            current = status_object.value.get("generation", 0)
             print(
-                f"{name}: generation {in_force} in force ({host_generations})"
+                f"{name}: generation {current} in force ({host_generations})"
             )
 
 
@@ -92,13 +93,11 @@
     accepted: change.AcceptedChange,
     timeout: float,
 ) -> None:
-    await change.wait_in_force(
+    await in_force.wait_in_force(
         client,
         data_centres,
         accepted,
         timeout,
-        lambda name, in_force: print(
-            f"{name}: generation {in_force} in force"
-        ),
+        lambda name, current: print(f"{name}: generation {current} in force"),
     )
     print(f"generation {accepted.generation} in force everywhere")
