--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -173,6 +173,12 @@
             "servers_revision": float(
                 self.state_sync.servers_position.revision
             ),
+            "sources_avoided": float(
+                self.state_sync.source_selector.sources_avoided
+            ),
+            "lists_abandoned": float(
+                self.state_sync.source_selector.lists_abandoned
+            ),
             "datagrams_unsent": float(send_failures),
             "lines_dropped": float(self.log.writer.dropped),
         }
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -73,6 +73,8 @@
         self.listed_at_store = float("-inf")
         self.sent_at = float("inf")
         self._needs_listing = True
+        # Whether the call that waits for its answer is a list.
+        self._lists = False
         # When the store was last asked because the followed host does not
         # serve the kind.
         self._asked_store_at = float("-inf")
@@ -89,6 +91,7 @@
 
         :param delay: seconds until the new call.
         """
+        self._log_abandoned()
         self._cancel()
         if not delay:
             self._call_source()
@@ -104,6 +107,7 @@
 
     def list_from(self, source: stores.Store) -> None:
         """List once at a source, even while another one is followed."""
+        self._log_abandoned()
         self._cancel()
         self._needs_listing = True
         self._call_source(source)
@@ -139,6 +143,7 @@
         source = store or self.source_selector.current_client()
         self._current_source = source
         self.sent_at = self.loop.now()
+        self._lists = self._needs_listing or self.position is None
         if self._needs_listing or self.position is None:
             self._cancel = _no_cancel
             call = source.list_unlimited if whole else source.list
@@ -325,6 +330,20 @@
             return self.source_selector.batch_delay()
         return 0.0
 
+    def _log_abandoned(self) -> None:
+        """Log that a list ends before it was answered."""
+        waited = self.loop.now() - self.sent_at
+        if not self._lists or waited < 0:
+            return
+        self.source_selector.lists_abandoned += 1
+        self.source_selector.store_monitor.log.event(
+            "list abandoned",
+            kind=self.kind,
+            source=self._current_source.address,
+            waited=round(waited, 3),
+            receiving=self.is_receiving(),
+        )
+
     def _log_unnamed(self, count: int) -> None:
         self.source_selector.store_monitor.log.event(
             "objects left out",
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -90,6 +90,8 @@
         force.
     :param followed_host: the entry host that is the source, None for the
         store.
+    :param sources_avoided: how often an entry host was avoided as source.
+    :param lists_abandoned: how often a list was given up before its answer.
     """
 
     def __init__(
@@ -106,6 +108,8 @@
         self.mirror = mirror
         self.get_generation = get_generation
         self.followed_host: addresses.Address | None = None
+        self.sources_avoided = 0
+        self.lists_abandoned = 0
         self.list_watchers: list[Reader] = []
         self._peer_clients: dict[addresses.Address, stores.Store] = {}
         self._failed_at: dict[addresses.Address, float] = {}
@@ -229,16 +233,20 @@
             return
         self.avoid(source.address, str(error))
 
-    def avoid(self, host: addresses.Address, reason: str) -> None:
+    def avoid(
+        self, host: addresses.Address, reason: str, **fields: object
+    ) -> None:
         """Do not follow a host until it has recovered.
 
         This takes at least ``AVOID_SECONDS`` and a new digest from the host.
 
         :param reason: for the log.
+        :param fields: further fields of the log line.
         """
         self._failed_at[host] = self.loop.now()
+        self.sources_avoided += 1
         self.store_monitor.log.event(
-            "source avoided", host=host, reason=reason
+            "source avoided", host=host, reason=reason, **fields
         )
 
     def _peer_client(self, host: addresses.Address) -> stores.Store:
@@ -298,7 +306,12 @@
             self.followed_host
             and now - self._source_lag_start > MAX_LAG_SECONDS
         ):
-            self.avoid(self.followed_host, "does not forward changes")
+            self.avoid(
+                self.followed_host,
+                "does not forward changes",
+                own_position=received,
+                reported=neighbour.digest.position,
+            )
 
     def _refresh_configuration(self, now: float) -> None:
         """List the configuration again if other hosts have a newer one.
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -281,6 +281,8 @@
         def fail(reason: str) -> None:
             if call.ended:
                 return
+            if call.connection.stream.has_unread_data():
+                reason += ", data not read yet"
             call.connection.call = None
             call.connection.stream.close()
             call.finish(reason)
--- a/vanilladrum/wire/stream.py
+++ b/vanilladrum/wire/stream.py
@@ -105,6 +105,15 @@
         elif self.connected:
             self._flush()
 
+    def has_unread_data(self) -> bool:
+        """Return whether data has arrived that was not passed on yet."""
+        if self.ended or not self.connected:
+            return False
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close(self) -> None:
         """Close the connection and discard unsent data.
 
