Complete a pending list when the source of updates changes

Cause: each change of the source, and each end of an outage of the store, began all calls of a host anew. A list of a large configuration takes longer than the source stays the same on a slow link (512 kB: 0.8 s at 5 Mbit/s), so it was never complete; the transfer that was given up went on and took its share of the link. It is a livelock: work is abandoned for a signal that says nothing about it, and begins again from zero.

Now a pending list is completed, whatever becomes the source meanwhile. If its source has stopped to answer, it fails by its own timeout, and the new source is asked at once. After an outage, lists that are arriving go on. Only a store that was restored still begins lists anew.

--- a/tests/test_interrupted_lists.py
+++ b/tests/test_interrupted_lists.py
@@ -8,6 +8,7 @@
 from tests import test_loop
 from tests import test_watchers
 from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
 from vanilladrum.daemons import list_watch
 from vanilladrum.platform import objects
 from vanilladrum.platform import store as stores
@@ -17,11 +18,12 @@
 # Time in which a list arrives, as one of 512 kB does at 5 Mbit/s, in seconds.
 TRANSFER_SECONDS = 0.8
 PARTS = 16
-# Interval between two changes of the source, in seconds.
-SOURCE_CHANGE_SECONDS = 0.3
+# Interval between two interruptions, in seconds.
+INTERRUPTION_SECONDS = 0.3
 # A configuration has to be in force by then, in seconds.
 LIMIT_SECONDS = 5.0
 WATCHING_HOSTS = range(2, 30)
+LIST_PATH = f"{stores.OBJECTS_PATH}/{objects.CONFIGURATION_KIND}"
 LISTING = {
     "items": [
         {
@@ -37,13 +39,13 @@
 class SlowStore:
     """Answers each call with the same list, which takes a while to send.
 
-    :param calls: number of calls so far.
+    :param lists: number of lists that were requested so far.
     """
 
     def __init__(self, loop):
         self.loop = loop
         self.address = addresses.Address("127.0.0.1", test_loop.free_port())
-        self.calls = 0
+        self.lists = 0
         body = json.dumps(LISTING).encode()
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
         answer = head.encode() + body
@@ -56,13 +58,18 @@
 
     def _on_accept(self, sock):
         stream = streams.Stream(
-            self.loop, sock, lambda _: self._answer(stream), lambda _: None
+            self.loop,
+            sock,
+            lambda data: self._answer(
+                stream, f"{LIST_PATH} ".encode() in data
+            ),
+            lambda _: None,
         )
         stream.start_reading()
         self.streams.append(stream)
 
-    def _answer(self, stream):
-        self.calls += 1
+    def _answer(self, stream, is_list):
+        self.lists += is_list
         for number, part in enumerate(self.parts):
             self.loop.after(
                 (number + 1) * TRANSFER_SECONDS / PARTS,
@@ -75,6 +82,12 @@
             each.close()
 
 
+def refuse_list(request):
+    """Refuse to relay a list; a watch waits."""
+    if not request.query:
+        request.respond(httpd.Response(413))
+
+
 @pytest.fixture
 def follower():
     """A host that follows others, all of which refuse to relay a list.
@@ -89,11 +102,7 @@
     store = SlowStore(loop)
     relay = httpd.HttpEndpoint(
         loop,
-        {
-            f"{stores.OBJECTS_PATH}/{objects.CONFIGURATION_KIND}": (
-                lambda request: request.respond(httpd.Response(413))
-            )
-        },
+        {LIST_PATH: refuse_list},
     )
     relay_address = addresses.Address("127.0.0.1", test_loop.free_port())
     relay.listen(relay_address)
@@ -139,10 +148,45 @@
         if selector.followed_host is not None:
             selector.avoid(selector.followed_host, "test")
         selector.tick()
-        loop.after(SOURCE_CHANGE_SECONDS, change_source)
+        loop.after(INTERRUPTION_SECONDS, change_source)
 
     receive_digests(selector, sequence)
     selector.list_watchers[0].restart()
-    loop.after(SOURCE_CHANGE_SECONDS, change_source)
+    loop.after(INTERRUPTION_SECONDS, change_source)
     test_loop.run_until(loop, lambda: listed, LIMIT_SECONDS)
-    assert store.calls == 1
+    assert store.lists == 1
+
+
+# The same where the store is lost and regained for moments.
+def test_large_configuration_arrives_while_the_store_is_regained(follower):
+    selector, store, listed = follower
+    loop = selector.loop
+
+    def lose_and_regain_store():
+        selector.store_monitor.record_failure(errors.PlatformError("test"))
+        selector.store_monitor.record_success()
+        loop.after(INTERRUPTION_SECONDS, lose_and_regain_store)
+
+    selector.list_watchers[0].restart()
+    loop.after(INTERRUPTION_SECONDS, lose_and_regain_store)
+    test_loop.run_until(loop, lambda: listed, LIMIT_SECONDS)
+    assert store.lists == 1
+
+
+# A list that goes on at the former source may fail there; the new source is
+# then asked at once and not after the delay for a failed one.
+def test_list_that_fails_at_the_former_source_is_repeated_at_once(follower):
+    selector, store, listed = follower
+    receive_digests(selector, 1)
+    (watcher,) = selector.list_watchers
+    watcher.restart()
+    selector.avoid(selector.followed_host, "test")
+    selector.tick()
+    assert watcher.is_listing
+    delays = []
+    watcher._schedule_call = lambda delay, source=None: delays.append(delay)
+    watcher._on_answer(errors.StoreTimeoutError("test"))
+    assert delays == [0.0]
+    watcher._current_source = selector.current_client()
+    watcher._on_answer(errors.StoreTimeoutError("test"))
+    assert delays[1] > 0.0
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -101,6 +101,23 @@
         self._call_number += 1
         self._schedule_call(delay)
 
+    @property
+    def is_listing(self) -> bool:
+        """Return whether a list has been requested and not been answered."""
+        return self._lists and self.sent_at != float("inf")
+
+    def change_source(self, delay: float = 0.0) -> None:
+        """Call the new source, unless a list is pending.
+
+        That list is completed first: if a list took longer than the source
+        stays the same, none would ever be complete. It fails by itself if its
+        source has stopped to answer.
+
+        :param delay: seconds until the new call.
+        """
+        if not self.is_listing:
+            self.restart(delay)
+
     def is_receiving(self) -> bool:
         """Return whether data arrived within the last call timeout."""
         return self._current_source.is_receiving()
@@ -172,7 +189,8 @@
             self.source_selector.record_failure(self._current_source, outcome)
             # When the store is reachable again or the source changes, this
             # list watcher is restarted sooner.
-            delay = store_monitors.RETRY_DELAYS[-1]
+            if not self._was_asked_once():
+                delay = store_monitors.RETRY_DELAYS[-1]
         else:
             delay = self._apply_or_list_again(outcome)
         if call_number == self._call_number:
@@ -302,7 +320,10 @@
         return store_monitors.RETRY_DELAYS[0]
 
     def _was_asked_once(self) -> bool:
-        """Return whether the last call went to another host than followed."""
+        """Return whether the last call went to another host than followed.
+
+        It was asked for a list only, or is not followed any more.
+        """
         source = self._current_source
         return (
             source.is_mirror
@@ -332,15 +353,14 @@
 
     def _log_abandoned(self) -> None:
         """Log that a list ends before it was answered."""
-        waited = self.loop.now() - self.sent_at
-        if not self._lists or waited < 0:
+        if not self.is_listing:
             return
         self.source_selector.lists_abandoned += 1
         self.source_selector.store_monitor.log.event(
             "list abandoned",
             kind=self.kind,
             source=self._current_source.address,
-            waited=round(waited, 3),
+            waited=round(self.loop.now() - self.sent_at, 3),
             receiving=self.is_receiving(),
         )
 
--- a/vanilladrum/daemons/source_selector.py
+++ b/vanilladrum/daemons/source_selector.py
@@ -1,13 +1,12 @@
 """Choice of the source of updates: the store or another entry host."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
 from vanilladrum.core import neighbours as neighbour_tables
-from vanilladrum.core import position as positions
 from vanilladrum.core import watchers
+from vanilladrum.daemons import reader as readers
 from vanilladrum.daemons import store_monitor as store_monitors
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
@@ -44,39 +43,6 @@
 FOLLOWER_SECONDS = 3.0
 
 
-class Reader(Protocol):
-    """Reads the objects of one kind from the current source.
-
-    :param kind: the kind.
-    :param position: position of the store up to which changes were received,
-        None before the first list.
-    :param listed_at_store: when the store itself last answered a list, in
-        monotonic seconds.
-    :param sent_at: when the call that waits for its answer was sent, in
-        monotonic seconds; infinite if there is none.
-    :param is_required: whether a host without a list of the kind has to get
-        one before it watches the store for others.
-    """
-
-    kind: str
-    is_required: bool
-    position: positions.StorePosition | None
-    listed_at_store: float
-    sent_at: float
-
-    def restart(self, delay: float = 0.0) -> None:
-        """Cancel the current call and make a new one after a delay."""
-
-    def is_receiving(self) -> bool:
-        """Return whether an answer is arriving now."""
-
-    def list_from(self, source: stores.Store) -> None:
-        """List once at a source, even while another one is followed."""
-
-    def list_again(self) -> None:
-        """List at the current source if the known list is of another era."""
-
-
 class SourceSelector:
     """Chooses the source of updates: the store or another entry host.
 
@@ -110,7 +76,7 @@
         self.followed_host: addresses.Address | None = None
         self.sources_avoided = 0
         self.lists_abandoned = 0
-        self.list_watchers: list[Reader] = []
+        self.list_watchers: list[readers.Reader] = []
         self._peer_clients: dict[addresses.Address, stores.Store] = {}
         self._failed_at: dict[addresses.Address, float] = {}
         self._source_lag_start = loop.now()
@@ -200,7 +166,7 @@
         if chosen is None and self._may_find_watcher():
             delay = self.neighbours.rng.uniform(0.0, MAX_CLAIM_DELAY)
         for list_watcher in self.list_watchers:
-            list_watcher.restart(delay)
+            list_watcher.change_source(delay)
 
     def batch_delay(self) -> float:
         """Return the delay in seconds before the next watch at the store.
@@ -339,7 +305,7 @@
                 self._request_configuration(list_watcher, newest, now)
 
     def _request_configuration(
-        self, list_watcher: Reader, generation: int, now: float
+        self, list_watcher: readers.Reader, generation: int, now: float
     ) -> None:
         if self.store_monitor.unreachable:
             list_watcher.restart()
@@ -394,5 +360,8 @@
             list_watcher.list_again()
 
     def _restart_list_watchers(self) -> None:
+        """Call the source again, except for lists that are arriving."""
         for list_watcher in self.list_watchers:
+            if list_watcher.is_listing and list_watcher.is_receiving():
+                continue
             list_watcher.restart()
