Report the position of the last change of servers in digests

Cause: the store counts the changes of all kinds in one revision. An answer without changes of servers, at the end of a watch, moved the position of a watcher past a change of the configuration. Its digest reported that position, while its followers learned of it only when their own watches ended, up to two seconds later. After half a second they took the watcher for one that "does not forward changes", and other watchers renewed watches that were in order.

Now a digest has the position of the last list or of the last answer with changes. What it is compared with stays: the position up to which a host has received.

The test failed before:

Left contains one more item: {'event': 'source avoided', 'reason': 'does not forward changes', ...}

--- a/tests/test_interrupted_lists.py
+++ b/tests/test_interrupted_lists.py
@@ -1,5 +1,6 @@
 """Lists that take long, while the source of updates changes."""
 
+import asyncio
 import json
 
 import pytest
@@ -190,3 +191,14 @@
     watcher._current_source = selector.current_client()
     watcher._on_answer(errors.StoreTimeoutError("test"))
     assert delays[1] > 0.0
+
+
+# Followers avoided a host that works: its position had moved with the
+# configurations, while no server had changed that it could have forwarded.
+async def test_only_configurations_change_and_no_source_is_avoided(cluster):
+    for _ in range(12):
+        await cluster.write_configuration()
+        await asyncio.sleep(0.5)
+    for host in cluster.hosts:
+        assert host.logged_events("source avoided") == []
+        assert host.logged_events("watch renewed") == []
--- a/vanilladrum/daemons/digest_exchange.py
+++ b/vanilladrum/daemons/digest_exchange.py
@@ -75,7 +75,7 @@
             self.state_sync.source_selector.receives_from_store
             and not self.leaving,
             self.state_sync.store_monitor.unreachable,
-            self.state_sync.servers_position,
+            self.state_sync.servers_changed_position,
             receiver,
         )
         return digests.encode(digest)
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -125,6 +125,11 @@
         """Return the position of the store up to which servers are known."""
         return self.mirror.position(objects.SERVER_KIND)
 
+    @property
+    def servers_changed_position(self) -> positions.StorePosition:
+        """Return the position of the last change of servers known here."""
+        return self.mirror.changed_position(objects.SERVER_KIND)
+
     def start(self) -> None:
         """Schedule the choice of a source after ``DISCOVERY_SECONDS``."""
         self.store_monitor.start()
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -50,6 +50,9 @@
 
     :param raw_objects: objects as decoded from JSON, by name.
     :param position: position of the objects, None before the first list.
+    :param changed_position: position of the last list or of the last answer
+        with changes. Answers without changes move ``position`` only, because
+        the store counts the changes of all kinds in one revision.
     :param history_start: revision of the same era since which the history is
         complete.
     :param history: the last change of each object, oldest first: revision,
@@ -60,6 +63,7 @@
     def __init__(self) -> None:
         self.raw_objects: dict[str, dict] = {}
         self.position: positions.StorePosition | None = None
+        self.changed_position = positions.START
         self.history_start = 0
         self.history: dict[str, tuple[int, dict, bool]] = {}
         self.pending_watches: list[_PendingWatch] = []
@@ -188,6 +192,13 @@
         """Return the position of a kind, ``START`` before the first list."""
         return self.kinds[kind].position or positions.START
 
+    def changed_position(self, kind: str) -> positions.StorePosition:
+        """Return the position of the last change of a kind.
+
+        A host that has received the changes up to there lacks nothing.
+        """
+        return self.kinds[kind].changed_position
+
     @property
     def has_pending_watches(self) -> bool:
         """Return whether other hosts wait for changes."""
@@ -204,6 +215,7 @@
             each.name: each.plain for each in listing.objects
         }
         mirrored.position = listing.position
+        mirrored.changed_position = listing.position
         mirrored.history_start = listing.revision
         mirrored.history.clear()
         mirrored.clear_cached_answers()
@@ -218,6 +230,8 @@
             mirrored.apply_change(changes.revision, each)
         mirrored.position = changes.position
         mirrored.clear_cached_answers()
+        if changes.objects or changes.unnamed:
+            mirrored.changed_position = changes.position
         if changes.objects:
             self._answer_pending(mirrored)
 
