Read what has arrived before timers that became due meanwhile

Cause: the loop ran the timers after the handlers, with the time after them. A handler that takes long (a configuration with 2,800 routes: 50 ms of processor time, 0.3 s on a host with 0.163 cores) made timeouts due whose answers had arrived meanwhile and had not been polled.

Now the timers that were due at the poll run; those that became due later wait for the next poll, which does not block.

The test failed before: assert ['timeout', 'answer'] == ['answer', 'timeout'].

--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import time
 
 import pytest
 
@@ -57,6 +58,33 @@
         loop.run()
 
 
+# A host that took long to read a large configuration ran the timeouts of
+# answers that had arrived meanwhile before it read them.
+def test_answer_that_arrived_is_handled_before_its_timeout():
+    loop = loops.Loop()
+    order = []
+    busy, trigger = socket.socketpair()
+    waiting, answering = socket.socketpair()
+
+    def handle_for_long(_):
+        busy.recv(1)
+        answering.send(b"a")
+        time.sleep(0.1)
+
+    def handle_answer(_):
+        waiting.recv(1)
+        order.append("answer")
+
+    loop.watch(busy.fileno(), loops.READ, handle_for_long)
+    loop.watch(waiting.fileno(), loops.READ, handle_answer)
+    loop.after(0.05, lambda: order.append("timeout"))
+    trigger.send(b"a")
+    run_until(loop, lambda: len(order) == 2)
+    assert order == ["answer", "timeout"]
+    for each in (busy, trigger, waiting, answering):
+        each.close()
+
+
 def test_datagrams_are_buffered_until_the_endpoint_opens():
     loop = loops.Loop()
     sock = udp.bind(ANY)
--- a/vanilladrum/wire/loop.py
+++ b/vanilladrum/wire/loop.py
@@ -79,12 +79,17 @@
         """Handle events and timers until :meth:`stop` is called."""
         self._running = True
         while self._running:
-            for descriptor, events in self._epoll.poll(self._poll_timeout()):
+            ready = self._epoll.poll(self._poll_timeout())
+            polled_at = self.now()
+            for descriptor, events in ready:
                 # A handler called before may have unwatched the descriptor.
                 handler = self._handlers.get(descriptor)
                 if handler is not None:
                     self._call(handler, events)
-            self._call(self.timers.run, self.now())
+            # Timers that became due while the handlers ran wait for the next
+            # poll: what has arrived meanwhile may be the answer whose timeout
+            # they are.
+            self._call(self.timers.run, polled_at)
 
     def _call(self, callback: Callable, *arguments: object) -> None:
         """Call a function and pass its exception to ``on_error``.
