List a large configuration instead of receiving all its versions

Callers would see requests handled by an older configuration (CONFIG): a host that watches the store itself falls behind without bound while a large configuration changes faster than its link transfers the versions.

Cause: the answer to a watch has every version since the last answer, although only the newest matters. On a slow link each answer takes longer than the one before and so has more versions in it: a backlog that grows with the time it takes to work it off. A list has the newest version only.

Now the call ends as soon as the header of an answer to a watch announces more than 64,000 bytes, and the configuration is listed, as it is after "too large" of another host. One more call for each large change and watcher.

The stand-in of the store gets a bandwidth for each host, and the cluster further routes.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -1,6 +1,7 @@
 """Runs entry hosts for flows as processes in a simulated environment."""
 
 import asyncio
+import hashlib
 import json
 import os
 import pathlib
@@ -54,6 +55,22 @@
     }
 
 
+def make_idle_routes(count: int) -> list[dict]:
+    """Return routes that no caller uses, with names that compress badly.
+
+    :param count: at most 65,536.
+    """
+    service = next(iter(SERVER_COUNTS))
+    return [
+        make_route(
+            hashlib.sha256(str(number).encode()).hexdigest(),
+            addresses.Address(f"198.19.{number >> 8}.{number & 255}", 443),
+            service,
+        )
+        for number in range(count)
+    ]
+
+
 @attrs.define(eq=False)
 class EntryHost:
     """An entry host process.
@@ -133,6 +150,7 @@
         servers have health endpoints.
     :param moving_service: service of the route to ``moving_address``, None
         without that route.
+    :param idle_routes: number of further routes that no caller uses.
     """
 
     folder: pathlib.Path
@@ -150,6 +168,7 @@
     configuration: dict | None = None
     target_ms: int = 0
     moving_service: str | None = None
+    idle_routes: int = 0
     router: flow_caller.Router | None = None
     caller: flow_caller.FlowCaller | None = None
     runner: web.AppRunner | None = None
@@ -251,6 +270,7 @@
             routes.append(
                 make_route("moving", self.moving_address, self.moving_service)
             )
+        routes += make_idle_routes(self.idle_routes)
         spec = {
             "version": generation,
             "routes": routes,
--- a/tests/test_list_watch.py
+++ b/tests/test_list_watch.py
@@ -220,6 +220,24 @@
     assert requested == (["host"] if store_unreachable else ["store"])
 
 
+# The store may answer although its last call has failed; it knows no list
+# without a size limit.
+def test_changes_of_the_store_that_are_too_large_are_listed_there():
+    source_selector, _ = make_source_selector(
+        peer_generation=1, store_unreachable=True
+    )
+    source_selector.followed_host = None
+    list_watcher = list_watch.ListWatcher(
+        source_selector, "config", print, print
+    )
+    requested = []
+    source_selector.store_monitor.store.list = lambda kind, done: (
+        requested.append(kind)
+    )
+    list_watcher._on_answer(errors.AnswerTooLargeError("large"))
+    assert requested == ["config"]
+
+
 @pytest.mark.parametrize(
     "store_unreachable,expected_source",
     [(False, "store"), (True, "followed host")],
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -314,6 +314,25 @@
     assert changes.objects == () and changes.revision == 10
 
 
+def test_changes_above_the_limit_are_not_received(fake_store):
+    """The call ends with the header, not after the whole answer."""
+    fake_store.answers = [httpd.Response(200, bytes(500))]
+    client = fake_store.client
+    outcome = fake_store.wait_for_outcome(
+        functools.partial(client.watch, max_bytes=499), "servers", at(1), 1.0
+    )
+    assert type(outcome) is errors.AnswerTooLargeError
+    body = json.dumps({"events": [], "store-revision": 9}).encode()
+    fake_store.answers = [httpd.Response(200, body)]
+    outcome = fake_store.wait_for_outcome(
+        functools.partial(client.watch, max_bytes=len(body)),
+        "servers",
+        at(1),
+        1.0,
+    )
+    assert outcome.revision == 9
+
+
 def test_slow_answer_does_not_time_out_while_data_arrives(fake_store):
     """The timeout restarts whenever a part of the answer arrives."""
     body = json.dumps(
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -9,6 +9,7 @@
 
 from vanilladrum.core import errors
 from vanilladrum.core import position as positions
+from vanilladrum.daemons import list_watch_log
 from vanilladrum.daemons import source_selector as source_selectors
 from vanilladrum.daemons import store_monitor as store_monitors
 from vanilladrum.platform import objects
@@ -38,6 +39,9 @@
     :param is_versioned: whether the receiver itself recognizes older objects
         of the kind, so that it may be offered those of an older listing.
     :param watch_seconds: long-poll time of a watch, in seconds.
+    :param max_change_bytes: size of an answer to a watch from which the kind
+        is listed instead: a list has one version of each object, the answer
+        to a watch has all since the last one. None for no limit.
     :param is_required: whether this host needs a list of the kind. Otherwise
         a source may be without the kind, as hosts of an earlier release are;
         it is then listed at the store instead.
@@ -59,9 +63,11 @@
         is_versioned: bool = False,
         watch_seconds: float = WATCH_SECONDS,
         is_required: bool = True,
+        max_change_bytes: int | None = None,
     ) -> None:
         self.source_selector = source_selector
         self.loop = source_selector.loop
+        self._log = source_selector.store_monitor.log
         self.kind = kind
         self.on_listing = on_listing
         self.on_change = on_change
@@ -69,6 +75,7 @@
         self.is_versioned = is_versioned
         self.watch_seconds = watch_seconds
         self.is_required = is_required
+        self.max_change_bytes = max_change_bytes
         self.position: positions.StorePosition | None = None
         self.listed_at_store = float("-inf")
         self.sent_at = float("inf")
@@ -91,7 +98,7 @@
 
         :param delay: seconds until the new call.
         """
-        self._log_abandoned()
+        self._record_abandoned()
         self._cancel()
         if not delay:
             self._call_source()
@@ -124,7 +131,7 @@
 
     def list_from(self, source: stores.Store) -> None:
         """List once at a source, even while another one is followed."""
-        self._log_abandoned()
+        self._record_abandoned()
         self._cancel()
         self._needs_listing = True
         self._call_source(source)
@@ -167,7 +174,11 @@
             call(self.kind, on_answer)
             return
         self._cancel = source.watch(
-            self.kind, self.position, self.watch_seconds, on_answer
+            self.kind,
+            self.position,
+            self.watch_seconds,
+            on_answer,
+            self.max_change_bytes,
         )
 
     def _on_answer(self, outcome: Any) -> None:
@@ -175,7 +186,7 @@
         self.sent_at = float("inf")
         delay = 0.0
         if isinstance(outcome, errors.HistoryExpiredError):
-            self.source_selector.store_monitor.log.event(
+            self._log.event(
                 "history gone", kind=self.kind, reason=str(outcome)
             )
             self._needs_listing = True
@@ -198,13 +209,15 @@
             self._schedule_call(delay)
 
     def _handle_too_large(self) -> None:
-        """List again after the answer exceeded the size limit of a host.
+        """List after an answer that exceeded the size limit.
 
         The list is requested from the store if that is reachable, otherwise
         from the current source without a size limit.
         """
-        if not self.source_selector.store_monitor.unreachable:
-            self.list_from(self.source_selector.store_monitor.store)
+        store_monitor = self.source_selector.store_monitor
+        follows_store = self.source_selector.followed_host is None
+        if follows_store or not store_monitor.unreachable:
+            self.list_from(store_monitor.store)
             return
         self._needs_listing = True
         self._call_source(whole=True)
@@ -276,7 +289,9 @@
         if self._is_older(outcome):
             return self._refuse(outcome)
         if outcome.unnamed:
-            self._log_unnamed(outcome.unnamed)
+            list_watch_log.write_unnamed(
+                self._log, self.kind, self._current_source, outcome.unnamed
+            )
         if isinstance(outcome, stores.Listing):
             delay = self._apply_listing(outcome)
         elif self.position and outcome.era != self.position.era:
@@ -306,7 +321,9 @@
 
         :returns: the delay before the next call, in seconds.
         """
-        self._log_refused(outcome)
+        list_watch_log.write_refused(
+            self._log, self.kind, self._current_source, outcome, self.position
+        )
         if self.is_versioned and isinstance(outcome, stores.Listing):
             self.on_listing(outcome.objects)
         if self._was_asked_once():
@@ -330,6 +347,18 @@
             and source is not self.source_selector.current_client()
         )
 
+    def _record_abandoned(self) -> None:
+        """Count and log a list that ends before it was answered."""
+        if not self.is_listing:
+            return
+        self.source_selector.lists_abandoned += 1
+        list_watch_log.write_abandoned(
+            self._log,
+            self.kind,
+            self._current_source,
+            self.loop.now() - self.sent_at,
+        )
+
     def _apply_listing(self, listing: stores.Listing) -> float:
         self._needs_listing = False
         self.source_selector.mirror.replace_all(self.kind, listing)
@@ -351,41 +380,6 @@
             return self.source_selector.batch_delay()
         return 0.0
 
-    def _log_abandoned(self) -> None:
-        """Log that a list ends before it was answered."""
-        if not self.is_listing:
-            return
-        self.source_selector.lists_abandoned += 1
-        self.source_selector.store_monitor.log.event(
-            "list abandoned",
-            kind=self.kind,
-            source=self._current_source.address,
-            waited=round(self.loop.now() - self.sent_at, 3),
-            receiving=self.is_receiving(),
-        )
-
-    def _log_unnamed(self, count: int) -> None:
-        self.source_selector.store_monitor.log.event(
-            "objects left out",
-            kind=self.kind,
-            source=self._current_source.address,
-            unnamed=count,
-            reason="their names cannot be read",
-        )
-
-    def _log_refused(self, outcome: stores.Listing | stores.Changes) -> None:
-        log = self.source_selector.store_monitor.log
-        if not log.is_allowed("answer refused"):
-            return
-        log.event(
-            "answer refused",
-            kind=self.kind,
-            source=self._current_source.address,
-            era=outcome.era,
-            revision=outcome.revision,
-            own_position=self.position,
-        )
-
 
 def _no_cancel() -> None:
     """Stand in for the cancel function of a call that has none."""
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -21,6 +21,9 @@
 # A starting host waits this long, in seconds, for the digest of a host that it
 # can follow before it lists at the store.
 DISCOVERY_SECONDS = 0.03
+# Changes of the configuration that are larger than this, in bytes, are listed:
+# on a link of 5 Mbit/s more would take longer than a further call.
+MAX_CHANGE_BYTES = 64_000
 # Longest interval between two ticks while other hosts or this one wait for
 # an answer, in seconds; a fraction of the time that they wait beyond a watch.
 BUSY_TICK_SECONDS = 0.1
@@ -85,6 +88,7 @@
             self._configurations_listed,
             self._configuration_changed,
             is_versioned=True,
+            max_change_bytes=MAX_CHANGE_BYTES,
         )
         self.evacuation_sync: evacuation_syncs.EvacuationSync | None = None
         if settings.evacuation_limit is not None:
--- a/vanilladrum/platform/connection.py
+++ b/vanilladrum/platform/connection.py
@@ -6,6 +6,7 @@
 import httptools
 
 from vanilladrum.core import address as addresses
+from vanilladrum.core import errors
 from vanilladrum.wire import loop as loops
 from vanilladrum.wire import stream as streams
 
@@ -57,16 +58,20 @@
 
     :param compressed: whether the body of the response is compressed.
     :param era: the response's number of restores of the store.
+    :param max_body_bytes: size of a body from which the call ends with an
+        AnswerTooLargeError as soon as the size is known, None for no limit.
     :param last_received: when data last arrived, monotonic seconds.
     """
 
     def __init__(self, loop: loops.Loop, to: addresses.Address) -> None:
         self.call: Call | None = None
+        self.max_body_bytes: int | None = None
         self.body = b""
         self.compressed = False
         self.era = 0
         self.last_received = float("-inf")
-        self._completed: tuple[Call, Answer] | None = None
+        # The call that has ended, and its answer or error.
+        self._completed: tuple[Call, Any] | None = None
         self.loop = loop
         self.parser = httptools.HttpResponseParser(self)
         self.stream = streams.Stream.connect(
@@ -93,6 +98,8 @@
             self.compressed = value == b"deflate"
         elif lower == _ERA_HEADER_LOWER:
             self.era = _parse_era(value)
+        elif lower == b"content-length":
+            self._check_size(int(value))
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -106,6 +113,20 @@
             answer = Answer(status, self.body, self.compressed, self.era)
             self._completed = (call, answer)
 
+    def _check_size(self, size: int) -> None:
+        """End the call if the body is too large."""
+        if self.call is None or self.max_body_bytes is None:
+            return
+        if size <= self.max_body_bytes:
+            return
+        call, self.call = self.call, None
+        self.stream.close()
+        error = errors.AnswerTooLargeError(
+            f"the answer has {size} bytes, more than {self.max_body_bytes}; "
+            "list the objects, which is shorter"
+        )
+        self._completed = (call, error)
+
     def _received(self, data: bytes) -> None:
         self.last_received = self.loop.now()
         try:
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -150,6 +150,7 @@
         position: positions.StorePosition,
         wait: float,
         done: connections.Done,
+        max_bytes: int | None = None,
     ) -> Callable[[], None]:
         """Wait for changes after a position.
 
@@ -159,7 +160,9 @@
         :param wait: seconds after which the store sends an answer without
             changes.
         :param done: called with :class:`Changes` or a PlatformError, which
-            is a HistoryExpiredError if the kind has to be listed again.
+            is a HistoryExpiredError if the kind has to be listed again, and an
+            AnswerTooLargeError if it should be.
+        :param max_bytes: largest answer that is received, None for no limit.
         :returns: function that cancels the call; ``done`` is not called
             afterwards.
         """
@@ -173,7 +176,9 @@
         path = f"/{kind}?watch={position.revision}&wait-ms={int(wait * 1000)}"
         if self.is_mirror:
             path += f"&{ERA_PARAMETER}={position.era}"
-        return self._call("GET", path, read, done, wait=wait)
+        return self._call(
+            "GET", path, read, done, wait=wait, max_bytes=max_bytes
+        )
 
     def ping(self, done: connections.Done) -> None:
         """Check with the cheapest call whether the store answers.
@@ -251,6 +256,7 @@
         done: connections.Done,
         wait: float = 0.0,
         allow_not_found: bool = False,
+        max_bytes: int | None = None,
     ) -> Callable[[], None]:
         request_line = f"{method} {OBJECTS_PATH}{path}"
         self.calls += 1
@@ -263,6 +269,9 @@
                 done(self._timeout_error(request_line, outcome))
                 return
             self._release(call.connection, kind)
+            if isinstance(outcome, errors.PlatformError):
+                done(outcome)
+                return
             done(
                 answers.read_answer(
                     request_line, outcome, read, allow_not_found
@@ -302,6 +311,7 @@
         connection = self._acquire(kind)
         call = connections.Call(on_outcome, connection)
         connection.last_received = float("-inf")
+        connection.max_body_bytes = max_bytes
         self._busy_connections.add(connection)
         request = f"{request_line} HTTP/1.1\r\nHost: {self.address}\r\n\r\n"
         connection.send(call, request.encode())
--- a/vanilladrum/standins/object_store.py
+++ b/vanilladrum/standins/object_store.py
@@ -10,6 +10,9 @@
 import attrs
 
 PAGE_SIZE = 50
+# Largest part of an answer that is sent at once, in bytes, if the bandwidth is
+# limited.
+CHUNK_BYTES = 16_384
 ERA_HEADER = "Store-Era"
 
 
@@ -74,6 +77,8 @@
         by the encoded marker that is stored instead of it.
     :param dropped_watches: how often the waiting watches were lost.
     :param waiting: number of watches that wait for a change now, by kind.
+    :param bytes_per_second: bandwidth of the link of each entry host, 0 for no
+        limit. Answers to the same host share it.
     """
 
     revision: int = 1
@@ -90,6 +95,8 @@
     dropped_watches: int = 0
     raw_specs: dict[bytes, bytes] = attrs.field(factory=dict)
     waiting: collections.Counter = attrs.field(factory=collections.Counter)
+    bytes_per_second: float = 0.0
+    _link_free_at: dict[str, float] = attrs.field(factory=dict)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
 
     async def put(self, kind: str, name: str, spec: object) -> None:
@@ -188,14 +195,14 @@
         # A silent call never gets a response; the client has to time out.
         await asyncio.Event().wait()
 
-    async def _get(self, request: web.Request) -> web.Response:
+    async def _get(self, request: web.Request) -> web.StreamResponse:
         await self._inject_fault(request, "get")
         kind, name = request.match_info["kind"], request.match_info["name"]
         if name not in self.kinds[kind]:
             raise web.HTTPNotFound(text="{}")
-        return self._respond(self.kinds[kind][name])
+        return await self._respond(request, self.kinds[kind][name])
 
-    async def _list(self, request: web.Request) -> web.Response:
+    async def _list(self, request: web.Request) -> web.StreamResponse:
         if "watch" in request.query:
             return await self._watch(request)
         await self._inject_fault(request, "list")
@@ -207,9 +214,9 @@
             "has-more": len(names) > PAGE_SIZE,
             "store-revision": self.revision,
         }
-        return self._respond(body)
+        return await self._respond(request, body)
 
-    async def _watch(self, request: web.Request) -> web.Response:
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
         await self._inject_fault(request, "watch")
         since = int(request.query["watch"])
         wait = int(request.query["wait-ms"]) / 1000
@@ -237,13 +244,32 @@
             "events": self._events(kind, since),
             "store-revision": self.revision,
         }
-        return self._respond(body)
+        return await self._respond(request, body)
 
-    def _respond(self, document: dict) -> web.Response:
+    async def _respond(
+        self, request: web.Request, document: dict
+    ) -> web.StreamResponse:
         body = json.dumps(document).encode()
         for marker, spec in self.raw_specs.items():
             body = body.replace(marker, spec)
-        return web.Response(body=body, content_type="application/json")
+        if not self.bytes_per_second:
+            return web.Response(body=body, content_type="application/json")
+        response = web.StreamResponse()
+        response.content_type = "application/json"
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), CHUNK_BYTES):
+            chunk = body[start : start + CHUNK_BYTES]
+            await self._use_link(_called_address(request), len(chunk))
+            await response.write(chunk)
+        return response
+
+    async def _use_link(self, host: str, size: int) -> None:
+        """Wait until a host's link has transferred some bytes."""
+        now = asyncio.get_running_loop().time()
+        begin = max(now, self._link_free_at.get(host, now))
+        self._link_free_at[host] = begin + size / self.bytes_per_second
+        await asyncio.sleep(self._link_free_at[host] - now)
 
     def _events(self, kind: str, since: int) -> list[dict]:
         return [
