Draw no conclusion from checks beside a large answer

Callers saw: open flows were reset although their servers served (FLOW).

Cause: a host whose link is filled by a large configuration hears servers and callers late. Requests then look overdue, health checks are not established within 0.25 s, and two of them in a row presume a server dead. Class: a host takes its own trouble for that of others.

Now a check that was not established is inconclusive if this host received the parts of an answer at its start or its end: it is neither unreached nor reached, and is repeated as scheduled. While answers arrive without a break, a dead server is noticed later by as much.

Log events `check inconclusive`, `reached` in `server checked`; metric checks_inconclusive_total.

--- a/vanilladrum/core/failure_detector.py
+++ b/vanilladrum/core/failure_detector.py
@@ -226,6 +226,10 @@
             record.health.ejected_until = now
         self._clear_silent_servers(server)
 
+    def discard_check(self, server: backends.Backend) -> None:
+        """Forget a health check that was not answered for another reason."""
+        self.unreached.discard_check(server)
+
     def record_replaced(self, server: backends.Backend, now: float) -> None:
         """Record that another server has answered a server's health check.
 
--- a/vanilladrum/core/overdue/unreached_servers.py
+++ b/vanilladrum/core/overdue/unreached_servers.py
@@ -164,6 +164,10 @@
         record.unreached += 1
         record.last_ended = now
 
+    def discard_check(self, server: backends.Backend) -> None:
+        """Forget a running check whose result says nothing."""
+        self._running.pop(server.tag, None)
+
     def record_replaced(self, server: backends.Backend, now: float) -> None:
         """Record that another server has answered a check of a server.
 
--- a/vanilladrum/daemons/flow_host.py
+++ b/vanilladrum/daemons/flow_host.py
@@ -89,7 +89,11 @@
             self.loop, settings.peer, self.core, self.state_sync, log
         )
         self.health_checker = health_checks.HealthChecker(
-            self.loop, self.core, log, self._schedule_core_tick
+            self.loop,
+            self.core,
+            log,
+            self._schedule_core_tick,
+            self.state_sync.is_receiving,
         )
         self.readiness = ready.serve(
             self.loop, settings.readiness, lambda: self.is_ready
--- a/vanilladrum/daemons/health_checks.py
+++ b/vanilladrum/daemons/health_checks.py
@@ -21,6 +21,8 @@
 
     :param core: its failure detector receives the results.
     :param on_result: called after each result.
+    :param is_receiving: returns whether this host receives a large answer now.
+        It may fill the link, so that what servers send arrives late.
     :param running: connection of each running check, by server tag.
     """
 
@@ -30,11 +32,13 @@
         core: flowhost.FlowHost,
         log: json_log.EventLog,
         on_result: Callable[[], None],
+        is_receiving: Callable[[], bool],
     ) -> None:
         self.loop = loop
         self.core = core
         self.log = log
         self.on_result = on_result
+        self.is_receiving = is_receiving
         self.running: dict[int, streams.Stream] = {}
 
     def start(self, server: backends.Backend) -> None:
@@ -95,10 +99,16 @@
         stream: streams.Stream,
         received: bytearray,
     ) -> Callable[[], None]:
+        was_receiving = self.is_receiving()
+
         def on_timeout() -> None:
-            if self.running.get(server.tag) is stream:
-                is_ok = health.is_ok(bytes(received))
-                self._finish(server, is_ok, reached=stream.connected)
+            if self.running.get(server.tag) is not stream:
+                return
+            if not stream.connected and (was_receiving or self.is_receiving()):
+                self._finish_inconclusive(server)
+                return
+            is_ok = health.is_ok(bytes(received))
+            self._finish(server, is_ok, reached=stream.connected)
 
         return on_timeout
 
@@ -112,7 +122,17 @@
         self.core.failure_detector.record_check(
             server, healthy, self.loop.now(), reached
         )
-        self.log.event("server checked", server=server.name, good=healthy)
+        self.log.event(
+            "server checked", server=server.name, good=healthy, reached=reached
+        )
+        self.on_result()
+
+    def _finish_inconclusive(self, server: backends.Backend) -> None:
+        """End a check whose answer may wait behind a large one."""
+        self.running.pop(server.tag).close()
+        self.core.failure_detector.discard_check(server)
+        self.core.counters["checks_inconclusive"] += 1
+        self.log.event("check inconclusive", server=server.name)
         self.on_result()
 
     def _finish_replaced(self, server: backends.Backend, other: str) -> None:
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -159,6 +159,12 @@
             return now + BUSY_TICK_SECONDS
         return float("inf")
 
+    def is_receiving(self) -> bool:
+        """Return whether the parts of an answer arrive now."""
+        return any(
+            each.is_receiving() for each in self.source_selector.list_watchers
+        )
+
     def close(self) -> None:
         """Stop serving other entry hosts."""
         self.endpoint.close()
