--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -58,7 +58,7 @@
 
     list_unlimited = list
 
-    def watch(self, kind, position, wait, done):
+    def watch(self, kind, position, wait, done, max_bytes=None):
         self.called.append(("watch", kind, position))
         self.callbacks.append(done)
         return lambda: None
--- a/vanilladrum/daemons/list_watch_log.py
+++ b/vanilladrum/daemons/list_watch_log.py
@@ -48,6 +48,8 @@
 
     :param position: what was received before.
     """
+    if not log.is_allowed("answer refused"):
+        return
     log.event(
         "answer refused",
         kind=kind,
