--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -6,9 +6,10 @@
 other and overlap while callers send requests. With the mode ``restores`` the
 store is also restored from copies, with ``odd`` it is silent for less than a
 second, other programs write odd entries and routes move away from full
-servers, with ``evacuations`` data centres are evacuated as well. Prints the
-seed and the outcomes as JSON. If a guarantee was violated, it keeps the logs
-of the hosts and the exit code is 1.
+servers, with ``evacuations`` data centres are evacuated as well, with
+``large`` a large configuration changes in series while links are slow. Prints
+the seed and the outcomes as JSON. If a guarantee was violated, it keeps the
+logs of the hosts and the exit code is 1.
 """
 
 import asyncio
@@ -25,6 +26,7 @@
 
 from examples import evacuation_faults
 from examples import flow_cluster
+from examples import large_faults
 from examples import odd_faults
 from examples import overdue_check
 from examples import restore_faults
@@ -56,6 +58,7 @@
     "restores": restore_faults.RESTORE_FAULTS,
     "odd": odd_faults.ODD_FAULTS,
     "evacuations": restore_faults.RESTORE_FAULTS,
+    "large": large_faults.LARGE_FAULTS,
 }
 
 
@@ -340,6 +343,8 @@
         faults = evacuation_faults.Evacuations().add_to(faults)
     try:
         await cluster.start()
+        if mode == "large":
+            large_faults.enlarge(cluster)
         run = Soak(cluster, random.Random(seed), faults)
         return {"seed": seed, **await run.run(seconds)}
     finally:
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -29,6 +29,10 @@
 EVACUATION_SEEDS = {
     1: "the first seed",
 }
+# The same of runs with a large configuration and slow links.
+LARGE_SEEDS = {
+    1: "the first seed",
+}
 SECONDS = 8.0
 
 
@@ -64,6 +68,15 @@
     assert report["faults"] >= 5
 
 
+# No soak had a configuration that takes longer to transfer than its source
+# stays the same.
+@pytest.mark.parametrize("seed", LARGE_SEEDS)
+async def test_guarantees_hold_with_a_large_configuration(seed, tmp_path):
+    report = await flow_soak.soak(seed, SECONDS, tmp_path, "large")
+    assert report["broken"] == [], report
+    assert report["faults"] >= 5
+
+
 async def start_without_a_store(soak):
     """Start all hosts again during an outage; then they know nothing."""
     soak.cluster.store.injected_fault = object_store.InjectedFault.SILENT
