Reject a host that watches the store in the test of a rejected host

The test rejected the first host, which may be one that follows another; ranks depend on ports. Such a host calls the store only if it avoids the host that it follows.

Now the hosts settle and one that watches is rejected; no other host may lose the store, where one of two others was looked at before.

--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from vanilladrum.core import neighbours
 from vanilladrum.daemons import settings
 from vanilladrum.standins import flow_caller
 from vanilladrum.standins import flow_load
@@ -195,18 +196,28 @@
         assert adopted[-1]["offered"] == cluster.generation
 
 
+def watches_store(host):
+    """Return whether a host watches the store, by its log."""
+    followed = logged_events(host, "following")
+    return not followed or followed[-1]["host"] == "store"
+
+
 async def test_host_rejected_by_the_store_learns_from_its_peers(cluster):
-    first = cluster.hosts[0]
-    # The store is busy for the first host only.
-    cluster.store.rejected_hosts = frozenset({first.store.host})
+    # Until then hosts discover each other and may begin to follow.
+    await asyncio.sleep(neighbours.DISCOVERY_SECONDS + 0.5)
+    rejected, *_ = [host for host in cluster.hosts if watches_store(host)]
+    # The store is busy for this host only.
+    cluster.store.rejected_hosts = frozenset({rejected.store.host})
     cluster.store.injected_fault = object_store.InjectedFault.BUSY
     await asyncio.sleep(1.5)
     await cluster.write_configuration()
     await asyncio.sleep(2.0)
-    adopted = logged_events(first, "configuration adopted")
+    adopted = logged_events(rejected, "configuration adopted")
     assert adopted[-1]["offered"] == cluster.generation
-    assert logged_events(first, "store lost")
-    assert not logged_events(cluster.hosts[1], "store lost")
+    assert logged_events(rejected, "store lost")
+    for host in cluster.hosts:
+        if host is not rejected:
+            assert not logged_events(host, "store lost")
 
 
 async def test_objects_are_listed_again_after_the_history_is_truncated(
