--- a/vanilladrum/core/failure_detector.py
+++ b/vanilladrum/core/failure_detector.py
@@ -227,7 +227,7 @@
         self._clear_silent_servers(server)
 
     def discard_check(self, server: backends.Backend) -> None:
-        """Forget a health check that was not answered for another reason."""
+        """Forget a running health check that says nothing about its server."""
         self.unreached.discard_check(server)
 
     def record_replaced(self, server: backends.Backend, now: float) -> None:
--- a/vanilladrum/core/overdue/unreached_servers.py
+++ b/vanilladrum/core/overdue/unreached_servers.py
@@ -165,7 +165,7 @@
         record.last_ended = now
 
     def discard_check(self, server: backends.Backend) -> None:
-        """Forget a running check whose result says nothing."""
+        """Forget a running check that says nothing about its server."""
         self._running.pop(server.tag, None)
 
     def record_replaced(self, server: backends.Backend, now: float) -> None:
--- a/vanilladrum/daemons/list_watch.py
+++ b/vanilladrum/daemons/list_watch.py
@@ -39,7 +39,7 @@
     :param is_versioned: whether the receiver itself recognizes older objects
         of the kind, so that it may be offered those of an older listing.
     :param watch_seconds: long-poll time of a watch, in seconds.
-    :param max_change_bytes: size of an answer to a watch from which the kind
+    :param max_change_bytes: size of an answer to a watch above which the kind
         is listed instead: a list has one version of each object, the answer
         to a watch has all since the last one. None for no limit.
     :param is_required: whether this host needs a list of the kind. Otherwise
--- a/vanilladrum/platform/connection.py
+++ b/vanilladrum/platform/connection.py
@@ -58,7 +58,7 @@
 
     :param compressed: whether the body of the response is compressed.
     :param era: the response's number of restores of the store.
-    :param max_body_bytes: size of a body from which the call ends with an
+    :param max_body_bytes: size of a body above which the call ends with an
         AnswerTooLargeError as soon as the size is known, None for no limit.
     :param last_received: when data last arrived, monotonic seconds.
     """
