Let a simulated server stop responding while a health check connects

No caller saw anything: the fault is in the stand-in, not in a host.

Cause: the endpoint listens with a queue of one place and then takes that place itself, with a blocking connect in the event loop. Health checks of the hosts, which are other processes, may connect between the two calls. The queue is then full, the kernel drops the endpoint's own requests to connect, and the whole simulated cluster stands still until the kernel gives up.

Why this works: the connect does not block, and which client takes the place makes no difference.

Looked for elsewhere: every other blocking connect of the examples and tests (urlopen in examples/cluster.py, tests/test_hedging_processes.py) has a limit of 2 or 5 s and goes to another process.

--- a/vanilladrum/standins/health_endpoint.py
+++ b/vanilladrum/standins/health_endpoint.py
@@ -41,8 +41,12 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(endpoint)
         listener.listen(0)
-        # Takes the only place in the queue.
-        self._sockets = [listener, socket.create_connection(endpoint)]
+        # Takes the only place in the queue. If a health check has taken it
+        # first, a blocking connect would wait until the kernel gives up.
+        occupant = socket.socket()
+        occupant.setblocking(False)
+        occupant.connect_ex(endpoint)
+        self._sockets = [listener, occupant]
 
     def close(self) -> None:
         """Close all sockets; connections are refused."""
