Order overlapping silences of a simulated server

The soak may let one server fall silent while an earlier silence of the same server ends; nobody but the soak was affected.

Cause: HealthEndpoint.start awaits, so that another fault can replace the sockets before it has bound its own. Whichever binds second raises "address already in use", and the soak ends with it.

Evidence: the new test begins a silence in the same turn of the event loop in which another ends. Before: OSError 98, address already in use, at each run. After: it passes.

Why this works: a change of silence holds a lock until the endpoint has its new sockets, so that changes take effect one after the other.

--- a/tests/test_health_endpoint.py
+++ b/tests/test_health_endpoint.py
@@ -1,11 +1,13 @@
 """Health endpoint of a simulated server that stops responding."""
 
+import asyncio
 import socket
 
 import pytest
 
 from tests import test_loop
 from vanilladrum.core import address as addresses
+from vanilladrum.standins import flow_server
 from vanilladrum.standins import health_endpoint
 
 CONNECT_SECONDS = 0.3
@@ -69,3 +71,19 @@
     ContestedSocket.client.close()
     with pytest.raises(TimeoutError):
         connect(endpoint)
+
+
+# Faults that overlap on one server left its health endpoint without a socket.
+async def test_silences_that_follow_each_other_at_once(
+    endpoint, connect_limit
+):
+    server = flow_server.FlowServer(
+        "i-00000001", "bookings", "dc-1", endpoint.address, 0
+    )
+    server.health = endpoint
+    await server.set_silent(True)
+    await asyncio.gather(server.set_silent(False), server.set_silent(True))
+    with pytest.raises(TimeoutError):
+        connect(endpoint)
+    await server.set_silent(False)
+    connect(endpoint)
--- a/vanilladrum/standins/flow_server.py
+++ b/vanilladrum/standins/flow_server.py
@@ -29,6 +29,8 @@
     :param ended_silences: begin and end of each silence that has ended, in
         seconds of the event loop.
     :param silent_since: when the present silence began.
+    :param silence_change: held while the server falls silent or ends its
+        silence.
     :param full: whether it takes no new flow, as if it held all it can; it
         then sends nothing.
     :param draining: whether its store entry says that it is draining.
@@ -54,6 +56,7 @@
     health: health_endpoint.HealthEndpoint | None = None
     ended_silences: list[tuple[float, float]] = attrs.field(factory=list)
     silent_since: float = 0.0
+    silence_change: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     full: bool = False
     draining: bool = False
     entries_written: int = 0
@@ -75,7 +78,14 @@
         )
 
     async def set_silent(self, silent: bool) -> None:
-        """Let the server and its health endpoint respond or not."""
+        """Let the server and its health endpoint respond or not.
+
+        A call waits until an earlier one has ended.
+        """
+        async with self.silence_change:
+            await self._change_silence(silent)
+
+    async def _change_silence(self, silent: bool) -> None:
         if silent == self.silent:
             return
         self.silent = silent
