--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,67 +1,77 @@
-"""Another writer's entries at the servers' addresses, and a final fault."""
+"""A change of the configuration with a name in French typography."""
 
 import asyncio
 import collections
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "standins2"))
 
 import deployment  # noqa: E402
 
-RECOVERY_SECONDS = 12.0
-BEFORE_SECONDS = 4.0
+# The settings: bounds.config-apply-ms.
+APPLY_SECONDS = 3.0
+BEFORE_SECONDS = 5.0
 AFTER_SECONDS = 10.0
-RATE = 30
+RATE = 20
+# In French a no-break space stands before a colon.
+NO_BREAK_SPACE = "\u00a0"
 
 
-def agent_entry(server):
-    """Return the entry of a monitoring agent that names what it watches."""
-    return server.entry() | {
-        "service": "monitoring-agent",
-        "sequence": 1,
-        "born": int(time.time() * 1000),
+def change(world):
+    """Return the next version: one route moves, one is dropped, one is new."""
+    configuration = world.configuration()
+    by_service = {each["service"]: each for each in configuration["routes"]}
+    by_service["archive"]["service"] = "archive-new"
+    space = NO_BREAK_SPACE if deployment.TROUBLE else " "
+    added = by_service["waves"] | {
+        "name": f"houle{space}: bouées",
+        "path-prefix": "/9000/",
     }
+    configuration["routes"] = [
+        by_service["waves"],
+        by_service["archive"],
+        added,
+    ]
+    return configuration
 
 
 async def case(world):
-    """Return whether the service recovers after all processes were killed."""
+    """Return whether the change is in force in time."""
     await world.start()
-    target = world.target("bookings")
-    total = BEFORE_SECONDS + 2 + RECOVERY_SECONDS + AFTER_SECONDS
-    load = asyncio.create_task(
-        world.clients.load("r", target, "bookings", RATE, total)
-    )
-    await asyncio.sleep(BEFORE_SECONDS / 2)
-    if deployment.TROUBLE:
-        for server in list(world.servers):
-            name = f"monitoring-agent-{server.name[2:]}"
-            await world.store.put("servers", name, agent_entry(server))
-    await asyncio.sleep(BEFORE_SECONDS / 2)
-    fault_at = world.log.add("all processes are killed")
-    for machine in world.machines:
-        machine.end()
-    await asyncio.sleep(0.5)
-    for machine in world.machines:
-        machine.start()
-    back_at = world.log.add("all processes are started")
-    await load
-    before = collections.Counter()
-    after = collections.Counter()
-    for sent, outcome in world.clients.requests.values():
-        if sent < fault_at - world.clients.deadline:
-            before[outcome] += 1
-        if sent > back_at + RECOVERY_SECONDS:
-            after[outcome] += 1
-    world.log.add("before the final fault", **before)
-    world.log.add("later than recovery-s", **after)
-    print(f"before {dict(before)}, later than recovery-s {dict(after)}")
-    return not (
-        4 * before["200"] >= before.total() > 0
-        and 4 * after["200"] < after.total()
-    )
+    total = BEFORE_SECONDS + APPLY_SECONDS + AFTER_SECONDS
+    loads = [
+        asyncio.create_task(
+            world.clients.load(
+                service, world.target(service), service, RATE, total
+            )
+        )
+        for service in ("archive", "tides", "waves")
+    ]
+    await asyncio.sleep(BEFORE_SECONDS)
+    acked_at = await world.store.put("config", "main", change(world))
+    await asyncio.gather(*loads)
+    late = collections.Counter()
+    for server in world.servers:
+        if server.service not in ("archive", "tides"):
+            continue
+        for _, request in server.ran:
+            route = request.partition("-")[0]
+            sent = world.clients.sent_at[request]
+            if sent > acked_at + APPLY_SECONDS and route == server.service:
+                late[f"{route} run by {server.service}"] += 1
+    outcomes = collections.Counter()
+    for name, (sent, outcome) in world.clients.requests.items():
+        if sent > acked_at + APPLY_SECONDS:
+            outcomes[f"{name.partition('-')[0]}: {outcome}"] += 1
+    world.log.add("sent in time", **{"late": dict(late)})
+    print(f"as only the older version allows: {dict(late)}; {dict(outcomes)}")
+    return not late
 
 
 if __name__ == "__main__":
-    deployment.main(case, pathlib.Path(__file__).parent)
+    deployment.main(
+        case,
+        pathlib.Path(__file__).parent,
+        services={"archive": 2, "archive-new": 2, "tides": 2, "waves": 2},
+    )
--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -100,8 +100,10 @@
         self.next_port = 20_000
         # Time of sending and outcome of each request, by its name.
         self.requests = {}
-        # Client's port and name of the attempt, time of the SYN, machine.
+        # Name, time of the first SYN and machine of an attempt, by port.
         self.attempts = {}
+        # Time of the first SYN of an attempt, by its name.
+        self.sent_at = {}
         self._transport = None
 
     async def start(self):
@@ -247,6 +249,7 @@
             self.clients.attempts.setdefault(
                 self.port, (self.name, when, machine)
             )
+            self.clients.sent_at.setdefault(self.name, when)
             while True:
                 packet = await self._next(began + end)
                 if packet is None:
@@ -300,7 +303,8 @@
 
     def _judge(self, body):
         head, _, rest = body.partition(b"\r\n\r\n")
-        right = rest == f"{self.name} {self.service}".encode()
+        # A change of the configuration may have moved the route.
+        right = rest.startswith(f"{self.name} ".encode())
         signed = f"X-Response-Signature: {self.name}\r\n".encode() in head
         return "200" if right and signed else "foreign answer"
 
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -300,6 +300,10 @@
 
     async def run():
         deployment = Deployment(**arguments)
+        # The processes of the machines end with the script.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(110):
                 return await case(deployment)
@@ -309,7 +313,7 @@
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         sys.exit(NOT_RUN)
     sys.exit(HELD if held else BROKEN)
