Accept texts with any characters in configurations and entries

Cause: one check refused texts that str.isprintable() is false for or that have more than 256 characters, also in fields that decide nothing (names of routes, versions of servers). One of them refused the whole configuration.

Evidence: the hosts' logs have "configuration refused", "a text that cannot be printed"; with an ordinary space the script passes. Ruled out: an answer that cannot be decoded (it would be a failed call), a version adopted without effect (the log would have "configuration adopted").

The same on related paths: names of services, health-check paths (percent- encoded), labels of metrics, output of the check command, and upper bounds of priorities, weights, rates and durations, which are limited now.

--- /dev/null
+++ b/tests/test_unusual_texts.py
@@ -0,0 +1,96 @@
+"""Texts of other programs that a host accepts, whatever their characters."""
+
+import copy
+
+import pytest
+
+from tests import flow_factories
+from tests import stored_objects
+from vanilladrum.daemons import flow_metrics
+from vanilladrum.platform import health
+from vanilladrum.platform import listing as listings
+from vanilladrum.platform import objects
+
+# A no-break space, text of other scripts, separators, control characters, a
+# lone surrogate, an empty and a long text.
+UNUSUAL_TEXTS = {
+    "no-break space": "houle\u00a0: bouées",
+    "ideographic space": "予約\u3000一",
+    "direction mark": "\u200fהזמנה",
+    "line separator": "a\u2028b",
+    "line feed": "a\nb",
+    "lone surrogate": "\ud800",
+    "empty": "",
+    "long": "a" * 10_000,
+}
+
+
+@pytest.fixture(params=UNUSUAL_TEXTS.values(), ids=UNUSUAL_TEXTS.keys())
+def text(request):
+    return request.param
+
+
+def parse(content):
+    return objects.parse_configuration(
+        stored_objects.make_object("main", content)
+    )
+
+
+def make_server(**fields):
+    return objects.parse_server(
+        stored_objects.make_object(
+            "i-7f3a91c2", stored_objects.SERVER_ENTRY | fields
+        )
+    )
+
+
+# A route's name with a no-break space kept each later version out of force.
+def test_name_of_a_route_keeps_no_configuration_out_of_force(text):
+    content = copy.deepcopy(stored_objects.CONFIGURATION)
+    content["routes"][0]["name"] = text
+    parsed = parse(content)
+    assert parsed.generation == 7 and len(parsed.routes) == 2
+    assert not listings.read_listing(content).problems
+
+
+# The same for a service; its servers must still be found by its name.
+def test_name_of_a_service_may_have_any_characters(text):
+    content = copy.deepcopy(stored_objects.CONFIGURATION)
+    content["routes"][0]["service"] = text
+    content["services"][0]["name"] = text
+    parsed = parse(content)
+    server = make_server(service=text)
+    assert parsed.health_paths == {text: "/health"}
+    host = flow_factories.make_host([server])
+    assert host.configure(parsed)
+    decision = host.receive(flow_factories.make_packet(), 0.0)
+    assert decision.server is server
+    host.observer.flow_durations[text] = host.observer.answer_times
+    flow_metrics.render(host, {}).encode()
+
+
+# A release with such a version left its service without servers.
+def test_version_of_a_server_keeps_no_server_out_of_use(text):
+    assert make_server(version=text).name == "i-7f3a91c2"
+
+
+# Such a path kept the configuration out of force.
+def test_path_of_a_health_check_may_have_any_characters(text):
+    content = copy.deepcopy(stored_objects.CONFIGURATION)
+    content["services"][0]["health-check-path"] = text
+    (path,) = parse(content).health_paths.values()
+    request = health.make_request(make_server().address, path)
+    line = request.partition(b"\r\n")[0].split(b" ")
+    assert len(line) == 3 and line[1]
+
+
+# One value above a bound kept the configuration out of force.
+@pytest.mark.parametrize(
+    "field", ["priority", "timeout-ms", "target-latency-ms"]
+)
+def test_value_above_its_bound_is_limited(field):
+    content = copy.deepcopy(stored_objects.CONFIGURATION)
+    content["routes"][0][field] = 10**400
+    (route, _) = parse(content).routes.values()
+    assert route.priority <= objects.MAX_PRIORITY
+    assert route.timeout <= objects.MAX_DURATION_MS
--- a/vanilladrum/daemons/evacuation_sync.py
+++ b/vanilladrum/daemons/evacuation_sync.py
@@ -5,6 +5,7 @@
 from vanilladrum.core.evacuation import evacuations as evacuation_tables
 from vanilladrum.core import flowhost
 from vanilladrum.core import position as positions
+from vanilladrum.daemons import flow_metrics
 from vanilladrum.daemons import json_log
 from vanilladrum.daemons import list_watch
 from vanilladrum.daemons import source_selector as source_selectors
@@ -98,7 +99,9 @@
         """Return for each evacuated data centre the seconds since then."""
         now = self.loop.now()
         return {
-            f'evacuated{{data_centre="{_escape(name)}"}}': now - since
+            f'evacuated{{data_centre="{flow_metrics.escape(name)}"}}': (
+                now - since
+            )
             for name, since in self.core.evacuation.in_force.items()
             if self._is_known(name)
         }
@@ -204,8 +207,3 @@
     """
     longest = min(limit - POLL_MARGIN_SECONDS, MAX_POLL_SECONDS)
     return max(longest, MIN_POLL_SECONDS)
-
-
-def _escape(name: str) -> str:
-    """Return a label value in the Prometheus text format."""
-    return name.replace("\\", "\\\\").replace('"', '\\"')
--- a/vanilladrum/daemons/flow_metrics.py
+++ b/vanilladrum/daemons/flow_metrics.py
@@ -23,11 +23,23 @@
     }
     for name, histograms in by_service.items():
         for service, histogram in sorted(histograms.items()):
-            label = f'service="{service}"'
+            label = f'service="{escape(service)}"'
             lines.extend(_histogram(name, label, histogram))
     return "\n".join(lines) + "\n"
 
 
+def escape(text: str) -> str:
+    """Return a label value in the Prometheus text format.
+
+    >>> escape('a "b"')
+    'a \\\\"b\\\\"'
+    """
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    # A lone surrogate cannot be encoded.
+    encodable = escaped.encode(errors="replace").decode()
+    return encodable.replace("\n", "\\n")
+
+
 def _gauges(core: flowhost.FlowHost) -> dict[str, float]:
     directory = core.directory
     gauges: dict[str, float] = {}
--- a/vanilladrum/operator/checks/differences.py
+++ b/vanilladrum/operator/checks/differences.py
@@ -29,7 +29,9 @@
     after: object = None
 
     def __str__(self) -> str:
-        entry = f"{self.kind} {self.name}".rstrip()
+        # A terminal shows only printable characters as they are.
+        name = self.name if self.name.isprintable() else repr(self.name)
+        entry = f"{self.kind} {name}".rstrip()
         if not self.field:
             return f"{entry}: {self.change}"
         return f"{entry}: {self.field}: {self.before} -> {self.after}"
--- a/vanilladrum/platform/listing.py
+++ b/vanilladrum/platform/listing.py
@@ -225,13 +225,7 @@
     _read_address(listing, plain, path)
     listing.read(plain, path, "timeout-ms", objects.expect_duration)
     listing.read(plain, path, "target-latency-ms", objects.expect_duration, 0)
-    listing.read(
-        plain,
-        path,
-        "priority",
-        lambda value: objects.expect_int(value, 0, objects.MAX_PRIORITY),
-        0,
-    )
+    listing.read(plain, path, "priority", objects.read_priority, 0)
     if "service" in plain:
         listing.read(plain, path, "service", objects.expect_text)
     else:
@@ -292,7 +286,7 @@
     before = len(listing.problems)
     name = listing.read(plain, path, "name", objects.expect_text)
     health_path = listing.read(
-        plain, path, "health-check-path", objects.expect_path
+        plain, path, "health-check-path", objects.read_path
     )
     # Entry hosts read the rate only if there is a warm-up.
     if "warmup-s" in plain:
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import struct
 from typing import Any
+from urllib import parse
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import backend as backends
@@ -29,7 +30,11 @@
 MAX_WEIGHT = 1e9
 MAX_RATE = 1e9
 MAX_PRIORITY = 1000
-MAX_TEXT_LENGTH = 256
+# Longest name of an object, in characters; bounds the memory of a host that
+# keeps the names of other programs' objects.
+MAX_NAME_LENGTH = 4096
+# Characters that a path needs no percent-encoding for (RFC 3986).
+_PATH_CHARACTERS = "!#$%&'()*+,/:;=?@[]~"
 # Types of routes whose requests are idempotent.
 _REPEATABLE_TYPES = ("safe", "download")
 _SERVER_STATES = {
@@ -77,18 +82,18 @@
 
 
 def parse_readable(
-    parse: Callable[[Any, int], StoredObject], documents: list, era: int
+    read: Callable[[Any, int], StoredObject], documents: list, era: int
 ) -> tuple[StoredObject, ...]:
     """Read objects or events; leave out those without a readable name.
 
-    :param parse: :func:`parse_object` or :func:`parse_event`.
+    :param read: :func:`parse_object` or :func:`parse_event`.
     :param documents: the objects or events as decoded from JSON.
     :param era: number of restores of the store that sent them.
     """
     parsed = []
     for each in documents:
         try:
-            parsed.append(parse(each, era))
+            parsed.append(read(each, era))
         except errors.PlatformError:
             # Counted and logged by the list watcher.
             continue
@@ -124,7 +129,7 @@
     try:
         meta = plain["meta"]
         return StoredObject(
-            expect_text(meta["name"]),
+            expect_name(meta["name"]),
             expect_int(meta["revision"], 0, MAX_INTEGER),
             plain.get("spec"),
             deleted,
@@ -162,7 +167,7 @@
             started=expect_int(content.get("born", 0), 0, MAX_INTEGER),
             service=expect_text(content["service"]),
             address=_parse_endpoint(expect_text(content["address"])),
-            data_centre=expect_text(content["zone"]),
+            data_centre=expect_encodable(content["zone"]),
             # The platform calls the number of slots concurrency.
             slots=max(1, expect_int(content["max-concurrency"], 0, MAX_SLOTS)),
             state=_SERVER_STATES[expect_text(content["state"])],
@@ -193,9 +198,7 @@
             routes=routes_by_address,
             idle_timeout=expect_duration(limits["idle-timeout-ms"]),
             health_paths={
-                expect_text(each["name"]): expect_path(
-                    each["health-check-path"]
-                )
+                expect_text(each["name"]): read_path(each["health-check-path"])
                 for each in expect_list(content["services"])
             },
             era=entry.era,
@@ -259,10 +262,20 @@
         timeout=expect_duration(route["timeout-ms"]),
         repeatable=route.get("type") in _REPEATABLE_TYPES,
         target_latency=expect_duration(route.get("target-latency-ms", 0)),
-        priority=expect_int(route.get("priority", 0), 0, MAX_PRIORITY),
+        priority=read_priority(route.get("priority", 0)),
     )
 
 
+def read_priority(value: object) -> int:
+    """Return a priority, limited to the lowest one.
+
+    :raises TypeError, ValueError: when it is no integer from 0.
+    """
+    if type(value) is int:
+        value = min(value, MAX_PRIORITY)
+    return expect_int(value, 0, MAX_PRIORITY)
+
+
 def read_warm_up(service: dict) -> routes.WarmUp:
     """Convert the warm-up of a service that names one.
 
@@ -275,32 +288,52 @@
 
 
 def expect_text(value: object) -> str:
-    """Return a value that must be a text that can be encoded and logged.
+    """Return a value that must be a text; it may have any characters.
 
     :raises TypeError: when it is no text.
-    :raises ValueError: when it is empty, longer than ``MAX_TEXT_LENGTH``
-        characters, or has characters that cannot be printed. A lone surrogate
-        is one: it cannot be encoded.
     """
     if not isinstance(value, str):
         raise TypeError(f"{type(value).__name__} in place of a text")
-    if not 0 < len(value) <= MAX_TEXT_LENGTH:
-        raise ValueError(f"a text of {len(value)} characters")
-    if not value.isprintable():
-        raise ValueError("a text that cannot be printed")
     return value
 
 
-def expect_path(value: object) -> str:
-    """Return the path of a URL, which is sent in a request line.
+def expect_encodable(value: object) -> str:
+    """Return a value that must be a text that is sent to other hosts.
+
+    :raises TypeError: when it is no text.
+    :raises ValueError: when it cannot be encoded, because it has a lone
+        surrogate.
+    """
+    text = expect_text(value)
+    text.encode()
+    return text
+
+
+def expect_name(value: object) -> str:
+    """Return the name of an object, which may name a data centre or a server.
 
-    :raises ValueError: when it is empty or has other characters than ASCII
-        ones, or spaces.
+    :raises TypeError: when it is no text.
+    :raises ValueError: when it is empty, longer than ``MAX_NAME_LENGTH``,
+        has ASCII control characters, or cannot be encoded.
     """
-    path = expect_text(value)
-    if not path.isascii() or " " in path:
-        raise ValueError("a path that cannot be requested")
-    return path
+    name = expect_encodable(value)
+    if not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise ValueError(f"a name of {len(name)} characters")
+    if any(each < " " or each == "\x7f" for each in name):
+        raise ValueError("a name with control characters")
+    return name
+
+
+def read_path(value: object) -> str:
+    """Return the path of a URL as it is sent in a request line.
+
+    Characters that a request line cannot contain are percent-encoded.
+
+    :raises TypeError: when it is no text.
+    """
+    return parse.quote(
+        expect_text(value) or "/", _PATH_CHARACTERS, errors="surrogatepass"
+    )
 
 
 def expect_int(value: object, lowest: int, highest: int) -> int:
@@ -338,18 +371,18 @@
 
 
 def expect_number(value: object, highest: float) -> float:
-    """Return a value that must be a finite number from 0.
+    """Return a value that must be a number from 0, limited to a highest one.
 
     :raises TypeError: when it is no number.
-    :raises ValueError: when it is out of bounds.
+    :raises ValueError: when it is negative or not a number (NaN).
     """
     if type(value) not in (int, float):
         raise TypeError(f"{type(value).__name__} in place of a number")
     number: Any = value
     # False for a value that is not a number (NaN), too.
-    if not 0 <= number <= highest:
-        raise ValueError(f"a number that is not 0 to {highest}")
-    return float(number)
+    if not number >= 0:
+        raise ValueError("a number that is not 0 or more")
+    return float(min(number, highest))
 
 
 def expect_duration(value: object) -> float:
--- a/vanilladrum/platform/settings.py
+++ b/vanilladrum/platform/settings.py
@@ -12,6 +12,8 @@
 SECONDS_PER_MS = 0.001
 # Largest number in the settings; a duration of 11 days in milliseconds.
 MAX_NUMBER = 1e9
+# Characters around keys and values that do not belong to them.
+_SPACES = " \t\r"
 
 
 class NodeSettings:
@@ -158,10 +160,12 @@
 
 def _parse_lines(text: str) -> list[tuple[str, str]]:
     pairs = []
-    for line in text.splitlines():
+    # Unlike str.splitlines and str.strip without arguments, this leaves the
+    # separators and spaces of other scripts in names as they are.
+    for line in text.split("\n"):
         key, separator, value = line.partition("=")
         if separator:
-            pairs.append((key.strip(), value.strip()))
+            pairs.append((key.strip(_SPACES), value.strip(_SPACES)))
     return pairs
 
 
