Continue a list after a page without a usable name

Cause: the next page was requested after the last name that a host may use. A page without such a name ended the list with an error, at each attempt. The name after which a page begins need not be one that a host uses; names longer than a request line may be are continued after all names with their beginning. A list that makes no progress still ends with an error.

The checks of single values move to a module of their own, unchanged.

--- a/vanilladrum/platform/listing.py
+++ b/vanilladrum/platform/listing.py
@@ -15,6 +15,7 @@
 from vanilladrum.core import errors
 from vanilladrum.core import routes
 from vanilladrum.platform import objects
+from vanilladrum.platform import values
 
 # Names of the fields of an entry in its JSON form.
 FIELD_NAMES = {
@@ -141,7 +142,7 @@
         content,
         "",
         "version",
-        lambda value: objects.expect_int(value, 1, objects.MAX_INTEGER),
+        lambda value: values.expect_int(value, 1, values.MAX_INTEGER),
     )
     for position, each in _entries(listing, content, "routes"):
         _add_route(listing, each, f"routes[{position}]")
@@ -151,7 +152,7 @@
     if "limits" in content and _is_object(listing, limits, "limits"):
         field = IDLE_TIMEOUT_KEY.rpartition(".")[2]
         listing.idle_timeout = listing.read(
-            limits, "limits", field, objects.expect_duration
+            limits, "limits", field, values.expect_duration
         )
     if not listing.problems:
         _confirm(listing, content)
@@ -213,7 +214,7 @@
 
 
 def _entries(listing: Listing, content: dict, field: str) -> enumerate:
-    found = listing.read(content, "", field, objects.expect_list)
+    found = listing.read(content, "", field, values.expect_list)
     return enumerate(found or ())
 
 
@@ -221,13 +222,13 @@
     if not _is_object(listing, plain, path):
         return
     before = len(listing.problems)
-    listing.read(plain, path, "name", objects.expect_text)
+    listing.read(plain, path, "name", values.expect_text)
     _read_address(listing, plain, path)
-    listing.read(plain, path, "timeout-ms", objects.expect_duration)
-    listing.read(plain, path, "target-latency-ms", objects.expect_duration, 0)
+    listing.read(plain, path, "timeout-ms", values.expect_duration)
+    listing.read(plain, path, "target-latency-ms", values.expect_duration, 0)
     listing.read(plain, path, "priority", objects.read_priority, 0)
     if "service" in plain:
-        listing.read(plain, path, "service", objects.expect_text)
+        listing.read(plain, path, "service", values.expect_text)
     else:
         _read_shares(listing, plain, path)
     if len(listing.problems) > before:
@@ -239,12 +240,12 @@
 
 def _read_address(listing: Listing, plain: dict, path: str) -> None:
     """Add a problem unless the host and the port of a route are valid."""
-    host = listing.read(plain, path, "host", objects.expect_text)
+    host = listing.read(plain, path, "host", values.expect_text)
     port = listing.read(
         plain,
         path,
         "path-prefix",
-        lambda value: int(objects.expect_text(value).strip("/")),
+        lambda value: int(values.expect_text(value).strip("/")),
     )
     if host is None or port is None:
         return
@@ -259,7 +260,7 @@
 
 
 def _read_shares(listing: Listing, plain: dict, path: str) -> None:
-    shares = listing.read(plain, path, "backends", objects.expect_list)
+    shares = listing.read(plain, path, "backends", values.expect_list)
     if shares is None:
         return
     key = f"{path}.backends"
@@ -271,12 +272,12 @@
         share_path = f"{key}[{position}]"
         if not _is_object(listing, each, share_path):
             continue
-        listing.read(each, share_path, "service", objects.expect_text)
+        listing.read(each, share_path, "service", values.expect_text)
         listing.read(
             each,
             share_path,
             "weight",
-            lambda value: objects.expect_number(value, objects.MAX_WEIGHT),
+            lambda value: values.expect_number(value, objects.MAX_WEIGHT),
         )
 
 
@@ -284,9 +285,9 @@
     if not _is_object(listing, plain, path):
         return
     before = len(listing.problems)
-    name = listing.read(plain, path, "name", objects.expect_text)
+    name = listing.read(plain, path, "name", values.expect_text)
     health_path = listing.read(
-        plain, path, "health-check-path", objects.read_path
+        plain, path, "health-check-path", values.read_path
     )
     # Entry hosts read the rate only if there is a warm-up.
     if "warmup-s" in plain:
@@ -294,15 +295,15 @@
             plain,
             path,
             "warmup-s",
-            lambda value: objects.expect_number(
-                value, objects.MAX_DURATION_MS * objects.SECONDS_PER_MS
+            lambda value: values.expect_number(
+                value, values.MAX_DURATION_MS * values.SECONDS_PER_MS
             ),
         )
         listing.read(
             plain,
             path,
             "warmup-per-s",
-            lambda value: objects.expect_number(value, objects.MAX_RATE),
+            lambda value: values.expect_number(value, objects.MAX_RATE),
             0,
         )
     if len(listing.problems) > before:
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -16,10 +16,13 @@
 from vanilladrum.platform import answers
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
+from vanilladrum.platform import values
 from vanilladrum.wire import loop as loops
 
 # Idle connections that stay open for further calls of one kind.
 MAX_IDLE_CONNECTIONS = 2
+# Characters of a name that an error message shows.
+MAX_LOGGED_NAME = 100
 OBJECTS_PATH = "/vanilladrum/objects"
 # Query parameter that asks an entry host for a list of any size.
 WHOLE_PARAMETER = "whole"
@@ -168,7 +171,7 @@
         """
 
         def read(document: dict, era: int) -> Changes:
-            events = objects.expect_list(document["events"])
+            events = values.expect_list(document["events"])
             changed = objects.parse_readable(objects.parse_event, events, era)
             unnamed = len(events) - len(changed)
             return Changes(changed, _revision(document), era, unnamed)
@@ -220,32 +223,33 @@
         previous: Listing | None,
         done: connections.Done,
     ) -> None:
-        def read(document: dict, era: int) -> tuple[Listing, bool]:
-            items = objects.expect_list(document["items"])
+        def read(document: dict, era: int) -> tuple[Listing, str | None]:
+            items = values.expect_list(document["items"])
             page = objects.parse_readable(objects.parse_object, items, era)
             unnamed = len(items) - len(page)
             listing = Listing(page, _revision(document), era, unnamed)
-            return listing, objects.expect_bool(document["has-more"])
+            if not values.expect_bool(document["has-more"]):
+                return listing, None
+            return listing, objects.last_name(items)
 
         def next_page(outcome: Any) -> None:
             if isinstance(outcome, errors.PlatformError):
                 done(outcome)
                 return
-            page, more = outcome
+            page, last_name = outcome
             if previous is not None and page.era != previous.era:
                 done(_restored_error(kind))
                 return
             collected = _append_page(previous, page)
-            if not more:
+            if last_name is None:
                 done(collected)
                 return
-            if not page.objects:
+            if last_name in ("", after):
                 done(_no_next_page_error(kind, after))
                 return
-            last_name = page.objects[-1].name
             self._list_page(kind, last_name, collected, done)
 
-        query = f"?after={parse.quote(after, safe='')}" if after else ""
+        query = f"?after={_quote(after)}" if after else ""
         self._call("GET", f"/{kind}{query}", read, next_page)
 
     def _call(
@@ -348,6 +352,19 @@
         connection.stream.close()
 
 
+def _quote(name: str) -> str:
+    """Return a name as a value in a query.
+
+    A lone surrogate stands for a byte that is no UTF-8, or was written as an
+    escape sequence.
+    """
+    try:
+        encoded = name.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        encoded = name.encode(errors="surrogatepass")
+    return parse.quote(encoded, safe="")
+
+
 def _restored_error(kind: str) -> errors.HistoryExpiredError:
     return errors.HistoryExpiredError(
         f"the store was restored between two pages of {kind}; list the "
@@ -357,8 +374,8 @@
 
 def _no_next_page_error(kind: str, after: str) -> errors.PlatformError:
     return errors.PlatformError(
-        f"the store has more {kind} after {after!r}, but no name on that page "
-        "can be read; remove the objects there"
+        f"the store has more {kind} after {after[:MAX_LOGGED_NAME]!r}, but no "
+        "name on that page can be read; remove the objects there"
     )
 
 
@@ -378,6 +395,4 @@
 
 
 def _revision(document: dict) -> int:
-    return objects.expect_int(
-        document["store-revision"], 0, objects.MAX_INTEGER
-    )
+    return values.expect_int(document["store-revision"], 0, values.MAX_INTEGER)
