Read objects one at a time and keep nothing that names no server

Cause: the mirror kept each object as decoded JSON, whether or not it names a server, and an answer was decoded as a whole. An answer that could not be decoded was split by a Python loop over all of its tokens.

An answer is split by regular expressions without decoding it, each object is decoded alone, and of a large one only the members that are read. Entries that name no server are neither kept nor relayed, and their changes wake no follower.

Three tests used the removed attribute with the raw object, or passed the mirror a decoded answer; they compare all attributes and pass the encoded one.

--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -224,11 +224,13 @@
 @pytest.mark.parametrize("missing", [1, 4, 20])
 def test_compressed_answer_that_breaks_off_is_no_success(missing):
     body = mirrors._encode(
-        {
-            "items": list(range(3000)),
-            "has-more": False,
-            "store-revision": 1,
-        },
+        json.dumps(
+            {
+                "items": list(range(3000)),
+                "has-more": False,
+                "store-revision": 1,
+            }
+        ).encode(),
         1,
     )
     assert body.compressed
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -271,9 +271,9 @@
     mirror.replace_all("config", stores.Listing((large,), 10))
     sent = []
     mirror.handle(httpd.Request("/config", "", sent.append))
-    assert len(sent[0].encode()) < len(json.dumps(large.plain)) / 4
+    assert len(sent[0].encode()) < len(json.dumps(large.content)) / 4
     listing = wait_for_outcome(client, client.list, "config")
-    assert listing.objects[0].plain == large.plain
+    assert vars(listing.objects[0]) == vars(large)
 
 
 def test_mirror_does_not_pass_on_large_answers_unless_asked(mirror_and_client):
@@ -295,7 +295,7 @@
     outcome = wait_for_outcome(client, client.list, "config")
     assert type(outcome) is errors.AnswerTooLargeError
     full_listing = wait_for_outcome(client, client.list_unlimited, "config")
-    assert full_listing.objects[0].plain == large.plain
+    assert vars(full_listing.objects[0]) == vars(large)
 
 
 def test_answer_that_decompresses_above_the_limit_is_an_error(fake_store):
--- a/vanilladrum/daemons/evacuation_sync.py
+++ b/vanilladrum/daemons/evacuation_sync.py
@@ -33,6 +33,8 @@
     :param known_names: data centres that exist, with or without servers.
     :param on_settled: called when the evacuations are known, or when a
         starting host has waited for them long enough.
+    :param max_change_bytes: size of a change above which the evacuations are
+        listed instead, None for no limit.
     :param is_settled: whether one of both is the case.
     """
 
@@ -46,6 +48,7 @@
         hold_seconds: float,
         known_names: frozenset[str],
         on_settled: Callable[[], None],
+        max_change_bytes: int | None = None,
     ) -> None:
         self.loop = loop
         self.core = core
@@ -66,6 +69,7 @@
             self._changed,
             watch_seconds=poll_seconds(limit),
             is_required=False,
+            max_change_bytes=max_change_bytes,
         )
 
     def servers_known(self) -> None:
--- a/vanilladrum/daemons/server_sync.py
+++ b/vanilladrum/daemons/server_sync.py
@@ -107,6 +107,7 @@
         try:
             return objects.parse_server(entry)
         except errors.PlatformError as error:
+            self.core.counters["entries_refused"] += 1
             self.log.event("server refused", reason=str(error))
             self._remove(entry.name, entry.era)
             return None
@@ -168,6 +169,8 @@
     def _remove(self, name: str, era: int) -> None:
         self._withheld.pop(name, None)
         self._entry_order.record_removal(name, era)
+        if name not in self.core.directory.servers:
+            return
         self.core.handle_removed_entry(name, self.loop.now())
         self.log.event(
             "server entry gone",
--- a/vanilladrum/daemons/state_sync.py
+++ b/vanilladrum/daemons/state_sync.py
@@ -21,6 +21,10 @@
 # A starting host waits this long, in seconds, for the digest of a host that it
 # can follow before it lists at the store.
 DISCOVERY_SECONDS = 0.03
+# Changes of the servers and of the evacuations that are larger than this, in
+# bytes, are listed: a page of a list has one object of the platform's largest
+# size, and the answer to a watch all that have changed.
+MAX_ENTRY_CHANGE_BYTES = 1_500_000
 # Changes of the configuration that are larger than this, in bytes, are listed:
 # on a link of 5 Mbit/s more would take longer than a further call.
 MAX_CHANGE_BYTES = 64_000
@@ -81,6 +85,7 @@
             self._servers_listed,
             self.server_sync.apply_change,
             batches_changes=True,
+            max_change_bytes=MAX_ENTRY_CHANGE_BYTES,
         )
         list_watch.ListWatcher(
             self.source_selector,
@@ -101,6 +106,7 @@
                 self.server_sync.expiry_seconds,
                 settings.data_centres,
                 self._notify_if_known,
+                MAX_ENTRY_CHANGE_BYTES,
             )
         self.endpoint = httpd.HttpEndpoint(loop, mirrors.serve(self.mirror))
         self.endpoint.listen(settings.peer)
--- a/vanilladrum/platform/answers.py
+++ b/vanilladrum/platform/answers.py
@@ -33,6 +33,7 @@
     answer: connections.Answer,
     read: Reader,
     allow_not_found: bool,
+    decoder: partial_json.Decoder = partial_json.WHOLE,
 ) -> object:
     """Return the value that an answer contains, or a PlatformError.
 
@@ -40,6 +41,7 @@
     :param read: called with the document if the status is 200.
     :param allow_not_found: whether ``read`` is also called if the object does
         not exist.
+    :param decoder: decodes what is read of the objects.
     """
     status, body, compressed, era = answer
     if status in _UNAVAILABLE:
@@ -74,7 +76,7 @@
         )
     try:
         content = _decompress(body) if compressed else body
-        document = partial_json.loads(content or b"{}")
+        document = decoder.loads(content or b"{}")
         if not isinstance(document, dict):
             raise TypeError(f"{type(document).__name__} in place of an object")
         return read(document, era)
--- a/vanilladrum/platform/connection.py
+++ b/vanilladrum/platform/connection.py
@@ -56,6 +56,8 @@
 
     The parser calls the ``on_`` methods.
 
+    :param body_parts: the parts of the response's body that have arrived.
+    :param body_bytes: their size.
     :param compressed: whether the body of the response is compressed.
     :param era: the response's number of restores of the store.
     :param max_body_bytes: size of a body above which the call ends with an
@@ -66,7 +68,8 @@
     def __init__(self, loop: loops.Loop, to: addresses.Address) -> None:
         self.call: Call | None = None
         self.max_body_bytes: int | None = None
-        self.body = b""
+        self.body_parts: list[bytes] = []
+        self.body_bytes = 0
         self.compressed = False
         self.era = 0
         self.last_received = float("-inf")
@@ -80,7 +83,8 @@
 
     def send(self, call: Call, request: bytes) -> None:
         self.call = call
-        self.body = b""
+        self.body_parts = []
+        self.body_bytes = 0
         self.compressed = False
         self.era = 0
         self.parser = httptools.HttpResponseParser(self)
@@ -102,7 +106,11 @@
             self._check_size(int(value))
 
     def on_body(self, data: bytes) -> None:
-        self.body += data
+        if self.call is None:
+            return
+        self.body_parts.append(data)
+        self.body_bytes += len(data)
+        self._check_size(self.body_bytes)
 
     def on_message_complete(self) -> None:
         call, self.call = self.call, None
@@ -110,8 +118,10 @@
             self.stream.close()
         if call is not None:
             status = self.parser.get_status_code()
-            answer = Answer(status, self.body, self.compressed, self.era)
+            body = b"".join(self.body_parts)
+            answer = Answer(status, body, self.compressed, self.era)
             self._completed = (call, answer)
+        self.body_parts = []
 
     def _check_size(self, size: int) -> None:
         """End the call if the body is too large."""
@@ -120,6 +130,7 @@
         if size <= self.max_body_bytes:
             return
         call, self.call = self.call, None
+        self.body_parts = []
         self.stream.close()
         error = errors.AnswerTooLargeError(
             f"the answer has {size} bytes, more than {self.max_body_bytes}; "
--- a/vanilladrum/platform/mirror.py
+++ b/vanilladrum/platform/mirror.py
@@ -1,19 +1,18 @@
 """Read-only mirror of the store for other entry hosts.
 
 It answers lists and watches in the format of the store, so that the same
-client and list watcher work with both. It relays what this host has received,
-unchanged.
+client and list watcher work with both. It relays the objects that this host
+has received, as :mod:`vanilladrum.platform.relay` keeps them.
 """
 
-import collections
 from collections.abc import Callable
-import json
 from urllib import parse
 import zlib
 
 from vanilladrum.core import position as positions
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import objects
+from vanilladrum.platform import relay
 from vanilladrum.platform import store as stores
 from vanilladrum.wire import httpd
 from vanilladrum.wire import loop as loops
@@ -35,11 +34,17 @@
 MAX_WAIT_SECONDS = 30.0
 # Answers of each kind that are cached for hosts that send the same request.
 MAX_CACHED_ANSWERS = 16
-# Errors that a value which cannot be encoded as JSON raises.
-_ENCODE_ERRORS = (ValueError, TypeError, RecursionError)
-# Fields of the metadata that are read when an object is parsed.
-_META_FIELDS = ("name", "revision", objects.ERA_FIELD)
+# Kinds of objects that are mirrored.
+KINDS = (
+    objects.CONFIGURATION_KIND,
+    objects.SERVER_KIND,
+    objects.EVACUATION_KIND,
+)
 _SECONDS_PER_MS = 0.001
+# Answers of the store.
+_LIST = b'{"items": [%s], "has-more": false, "store-revision": %d}'
+_CHANGES = b'{"events": [%s], "store-revision": %d}'
+_EVENT = b'{"object": %s, "deleted": %s}'
 _GONE = httpd.Response(410)
 _NOT_FOUND = httpd.Response(404)
 _TOO_LARGE = httpd.Response(413)
@@ -48,7 +53,8 @@
 class MirroredKind:
     """Objects of one kind and their most recent changes.
 
-    :param raw_objects: objects as decoded from JSON, by name.
+    :param kind: the kind.
+    :param relayed: objects as they are relayed, by name.
     :param position: position of the objects, None before the first list.
     :param changed_position: position of the last list or of the last answer
         with changes. Answers without changes move ``position`` only, because
@@ -56,33 +62,44 @@
     :param history_start: revision of the same era since which the history is
         complete.
     :param history: the last change of each object, oldest first: revision,
-        object as decoded from JSON, and whether it was deleted.
+        object as it is relayed, and whether it was deleted.
     :param pending_watches: watches that wait for a change.
     """
 
-    def __init__(self) -> None:
-        self.raw_objects: dict[str, dict] = {}
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self.relayed: dict[str, bytes] = {}
         self.position: positions.StorePosition | None = None
         self.changed_position = positions.START
         self.history_start = 0
-        self.history: dict[str, tuple[int, dict, bool]] = {}
+        self.history: dict[str, tuple[int, bytes, bool]] = {}
         self.pending_watches: list[_PendingWatch] = []
         self._cached_answers: dict[int | None, httpd.Response] = {}
 
     def apply_change(
-        self, revision: int, changed: objects.StoredObject
-    ) -> None:
-        """Apply a change and add it to the history."""
-        if changed.deleted:
-            self.raw_objects.pop(changed.name, None)
-        else:
-            self.raw_objects[changed.name] = changed.plain
+        self, revision: int, changed: objects.StoredObject, era: int
+    ) -> bool:
+        """Apply a change and add it to the history.
+
+        :param era: era of the change.
+        :returns: whether it is one for the hosts that follow this one.
+        """
+        encoded = None
+        if not changed.deleted:
+            encoded = relay.encode(self.kind, changed, era)
+        known = self.relayed.pop(changed.name, None)
+        if encoded is not None:
+            self.relayed[changed.name] = encoded
+        elif known is None and not changed.deleted:
+            return False
         self.history.pop(changed.name, None)
-        entry = (revision, changed.plain, changed.deleted)
-        self.history[changed.name] = entry
+        is_removal = encoded is None
+        entry = encoded or relay.encode_removal(changed)
+        self.history[changed.name] = (revision, entry, is_removal)
         while len(self.history) > MAX_HISTORY:
             oldest = next(iter(self.history))
             self.history_start, _, _ = self.history.pop(oldest)
+        return True
 
     def clear_cached_answers(self) -> None:
         """Remove the cached answers, because the objects have changed."""
@@ -112,16 +129,16 @@
 
     def list_response(self) -> httpd.Response:
         """Return the HTTP response to a list request."""
-        return self._cached_answer(None, self.list_document)
+        return self._cached_answer(None, self.list_body)
 
     def changes_response(self, revision: int) -> httpd.Response:
         """Return the HTTP response to a watch from a revision."""
         return self._cached_answer(
-            revision, lambda: self.changes_document(revision)
+            revision, lambda: self.changes_body(revision)
         )
 
     def _cached_answer(
-        self, cache_key: int | None, make: Callable[[], dict]
+        self, cache_key: int | None, make: Callable[[], bytes]
     ) -> httpd.Response:
         """Return a response from the cache, or make and cache it.
 
@@ -136,26 +153,24 @@
             self._cached_answers[cache_key] = _encode(make(), self.era)
         return self._cached_answers[cache_key]
 
-    def list_document(self) -> dict:
+    @property
+    def revision(self) -> int:
+        """Return the revision of the objects, 0 before the first list."""
+        return self.position.revision if self.position else 0
+
+    def list_body(self) -> bytes:
         """Return all objects in the format of the store."""
-        return {
-            "items": list(self.raw_objects.values()),
-            "has-more": False,
-            "store-revision": self.position.revision if self.position else 0,
-        }
+        return _LIST % (b", ".join(self.relayed.values()), self.revision)
 
-    def changes_document(self, revision: int) -> dict:
+    def changes_body(self, revision: int) -> bytes:
         """Return the changes after a revision in the format of the store."""
         events = [
-            {"object": plain, "deleted": deleted}
-            for changed_at, plain, deleted in self.history.values()
+            _EVENT % (entry, b"true" if deleted else b"false")
+            for changed_at, entry, deleted in self.history.values()
             if changed_at > revision
         ]
-        own_revision = self.position.revision if self.position else 0
-        return {
-            "events": events,
-            "store-revision": max(own_revision, revision),
-        }
+        last_revision = max(self.revision, revision)
+        return _CHANGES % (b", ".join(events), last_revision)
 
 
 class _PendingWatch:
@@ -184,9 +199,7 @@
     def __init__(self, loop: loops.Loop) -> None:
         self.loop = loop
         self.last_watch_at = float("-inf")
-        self.kinds: dict[str, MirroredKind] = collections.defaultdict(
-            MirroredKind
-        )
+        self.kinds = {kind: MirroredKind(kind) for kind in KINDS}
 
     def position(self, kind: str) -> positions.StorePosition:
         """Return the position of a kind, ``START`` before the first list."""
@@ -211,9 +224,11 @@
         before the list is unknown.
         """
         mirrored = self.kinds[kind]
-        mirrored.raw_objects = {
-            each.name: each.plain for each in listing.objects
-        }
+        mirrored.relayed.clear()
+        for each in listing.objects:
+            encoded = relay.encode(kind, each, listing.era)
+            if encoded is not None:
+                mirrored.relayed[each.name] = encoded
         mirrored.position = listing.position
         mirrored.changed_position = listing.position
         mirrored.history_start = listing.revision
@@ -226,13 +241,15 @@
     def apply_changes(self, kind: str, changes: stores.Changes) -> None:
         """Apply changes and answer the watches that wait for them."""
         mirrored = self.kinds[kind]
+        has_changed = False
         for each in changes.objects:
-            mirrored.apply_change(changes.revision, each)
+            has_changed |= mirrored.apply_change(
+                changes.revision, each, changes.era
+            )
         mirrored.position = changes.position
         mirrored.clear_cached_answers()
-        if changes.objects or changes.unnamed:
+        if has_changed:
             mirrored.changed_position = changes.position
-        if changes.objects:
             self._answer_pending(mirrored)
 
     def keep(self, kind: str, kept: objects.StoredObject) -> None:
@@ -241,8 +258,9 @@
         After a restore the store may have an older one for a while.
         """
         mirrored = self.kinds[kind]
-        metadata = kept.plain["meta"] | {objects.ERA_FIELD: kept.era}
-        mirrored.raw_objects[kept.name] = kept.plain | {"meta": metadata}
+        encoded = relay.encode(kind, kept)
+        if encoded is not None:
+            mirrored.relayed[kept.name] = encoded
         mirrored.clear_cached_answers()
 
     def handle(self, request: httpd.Request) -> None:
@@ -312,12 +330,7 @@
 
 def serve(mirror: Mirror) -> httpd.Handlers:
     """Return the HTTP handlers of a mirror, by path."""
-    kinds = (
-        objects.CONFIGURATION_KIND,
-        objects.SERVER_KIND,
-        objects.EVACUATION_KIND,
-    )
-    return {f"{stores.OBJECTS_PATH}/{kind}": mirror.handle for kind in kinds}
+    return {f"{stores.OBJECTS_PATH}/{kind}": mirror.handle for kind in KINDS}
 
 
 def _limit_size(response: httpd.Response) -> httpd.Response:
@@ -327,49 +340,10 @@
     return response
 
 
-def _encode(document: dict, era: int) -> httpd.Response:
+def _encode(body: bytes, era: int) -> httpd.Response:
     """Return a response with a JSON document, compressed if it is large."""
-    body = _dump(document)
     headers = {connections.ERA_HEADER: str(era)}
     if len(body) <= MAX_UNCOMPRESSED_BYTES:
         return httpd.Response(200, body, headers=headers)
     compressed = zlib.compress(body, COMPRESSION_LEVEL)
     return httpd.Response(200, compressed, compressed=True, headers=headers)
-
-
-def _dump(document: dict) -> bytes:
-    """Encode an answer, without the content of objects that cannot be.
-
-    An object that could just be decoded may be nested too deeply to be
-    encoded as a part of an answer.
-    """
-    try:
-        return json.dumps(document).encode()
-    except _ENCODE_ERRORS:
-        return json.dumps(_without_unencodable(document)).encode()
-
-
-def _without_unencodable(document: dict) -> dict:
-    """Return an answer in which the content of some objects is None."""
-    if "items" in document:
-        items = [_encodable(each) for each in document["items"]]
-        return document | {"items": items}
-    events = [
-        each | {"object": _encodable(each["object"])}
-        for each in document["events"]
-    ]
-    return document | {"events": events}
-
-
-def _encodable(plain: dict) -> dict:
-    try:
-        # An answer has up to four levels around an object.
-        json.dumps([[[[plain]]]])
-    except _ENCODE_ERRORS:
-        meta = {
-            key: plain["meta"][key]
-            for key in _META_FIELDS
-            if key in plain["meta"]
-        }
-        return {"meta": meta, "spec": None, "status": None}
-    return plain
--- a/vanilladrum/platform/objects.py
+++ b/vanilladrum/platform/objects.py
@@ -11,6 +11,7 @@
 from vanilladrum.core import serverstate
 from vanilladrum.platform import connection as connections
 from vanilladrum.platform import packet
+from vanilladrum.platform import partial_json
 from vanilladrum.platform import values
 
 # Kinds and names of the objects that entry hosts read.
@@ -21,6 +22,25 @@
 EVACUATION_KIND = "evacuations"
 # Field of the metadata that entry hosts add to an object of an earlier era.
 ERA_FIELD = "era"
+# Members of the objects that are read. Nothing else of an entry is kept, so
+# that the memory of a host does not depend on what other programs write.
+_SERVER_FIELDS = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "max-concurrency",
+    "state",
+    "warmup-left-ms",
+    "sequence",
+    "born",
+)
+_METADATA_FIELDS = ("name", "revision", ERA_FIELD)
+_DECODERS = {
+    SERVER_KIND: partial_json.Decoder(_SERVER_FIELDS, _METADATA_FIELDS),
+    # The name says it all.
+    EVACUATION_KIND: partial_json.Decoder((), _METADATA_FIELDS),
+}
 # Bounds of values that other programs wrote.
 MAX_SLOTS = 100_000
 MAX_WEIGHT = 1e9
@@ -50,9 +70,9 @@
 
     :param name: unique among the objects of its kind.
     :param revision: store revision of the object's last change.
-    :param content: data that its writer stored, not validated yet.
+    :param content: what is read here of the data that its writer stored, not
+        validated yet.
     :param deleted: whether the object was deleted.
-    :param plain: the complete object as decoded from JSON.
     :param era: number of restores of the store when the object was read.
     """
 
@@ -62,17 +82,20 @@
         revision: int,
         content: Any,
         deleted: bool = False,
-        plain: dict | None = None,
         era: int = 0,
     ) -> None:
         self.name = name
         self.revision = revision
         self.content = content
         self.deleted = deleted
-        self.plain = plain or {}
         self.era = era
 
 
+def decoder(kind: str) -> partial_json.Decoder:
+    """Return the decoder of the answers about a kind of objects."""
+    return _DECODERS.get(kind, partial_json.WHOLE)
+
+
 def parse_readable(
     read: Callable[[Any, int], StoredObject], documents: list, era: int
 ) -> tuple[StoredObject, ...]:
@@ -147,7 +170,6 @@
             values.expect_int(meta["revision"], 0, values.MAX_INTEGER),
             plain.get("spec"),
             deleted,
-            plain,
             values.expect_int(
                 meta.get(ERA_FIELD, era), 0, connections.MAX_ERA
             ),
--- a/vanilladrum/platform/store.py
+++ b/vanilladrum/platform/store.py
@@ -8,7 +8,6 @@
 import collections
 from collections.abc import Callable
 from typing import Any
-from urllib import parse
 
 from vanilladrum.core import address as addresses
 from vanilladrum.core import errors
@@ -249,7 +248,7 @@
                 return
             self._list_page(kind, last_name, collected, done)
 
-        query = f"?after={_quote(after)}" if after else ""
+        query = f"?after={values.quote_name(after)}" if after else ""
         self._call("GET", f"/{kind}{query}", read, next_page)
 
     def _call(
@@ -278,7 +277,11 @@
                 return
             done(
                 answers.read_answer(
-                    request_line, outcome, read, allow_not_found
+                    request_line,
+                    outcome,
+                    read,
+                    allow_not_found,
+                    objects.decoder(kind),
                 )
             )
 
@@ -352,19 +355,6 @@
         connection.stream.close()
 
 
-def _quote(name: str) -> str:
-    """Return a name as a value in a query.
-
-    A lone surrogate stands for a byte that is no UTF-8, or was written as an
-    escape sequence.
-    """
-    try:
-        encoded = name.encode(errors="surrogateescape")
-    except UnicodeEncodeError:
-        encoded = name.encode(errors="surrogatepass")
-    return parse.quote(encoded, safe="")
-
-
 def _restored_error(kind: str) -> errors.HistoryExpiredError:
     return errors.HistoryExpiredError(
         f"the store was restored between two pages of {kind}; list the "
--- a/vanilladrum/platform/values.py
+++ b/vanilladrum/platform/values.py
@@ -116,3 +116,16 @@
 def expect_duration(value: object) -> float:
     """Return a duration in seconds that was written in milliseconds."""
     return expect_number(value, MAX_DURATION_MS) * SECONDS_PER_MS
+
+
+def quote_name(name: str) -> str:
+    """Return a name as a value in a query.
+
+    A lone surrogate stands for a byte that is no UTF-8, or was written as an
+    escape sequence.
+    """
+    try:
+        encoded = name.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        encoded = name.encode(errors="surrogatepass")
+    return parse.quote(encoded, safe="")
