Judge entries with one address by the configuration in force

Cause: a host concluded from the entry that started last at an address that the other servers there have stopped. While it had no configuration, every service counted as named, and a host that starts gets the entries first. Nothing took the removal back when the configuration arrived.

Evidence: a host without network, given both entries before the configuration, has the server until the next tick and not after it; with the configuration first it keeps it. Ruled out thereby: servers that were not listed, servers that were ejected as silent (no packet was sent).

All servers of an address are kept while their entries are in the store, and which have stopped follows from the entries and the named services, in any order of arrival. The same cause kept a server out of use for good when the later entry was removed or its service was named no longer, and let a service that was named later not take its address.

--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -7,6 +7,7 @@
 import zlib
 
 from vanilladrum.core import address as addresses
+from vanilladrum.core import address_claims
 from vanilladrum.core import indexed_set
 from vanilladrum.core import serverstate
 
@@ -136,6 +137,8 @@
     :param departed_seconds: seconds for which the open flows of a departed
         server are still forwarded.
     :param servers: servers in use, by name.
+    :param superseded: servers that are not used because another one has got
+        their address, by name. Their entries are still in the store.
     :param pools: servers that accept new flows, by service.
     :param evacuated: names of the evacuated data centres. Their servers are
         in no pool.
@@ -147,12 +150,16 @@
     def __init__(self, departed_seconds: float = 60.0) -> None:
         self.departed_seconds = departed_seconds
         self.servers: dict[str, Backend] = {}
+        self.superseded: dict[str, Backend] = {}
         # Servers whose entries were removed, each with the time until which
         # packets of its open flows may still arrive, oldest first.
         self.departed: dict[str, tuple[Backend, float]] = {}
         # Servers whose entries are missing, perhaps temporarily, each with
         # the time until which it stays in use.
         self.pending_removal: dict[str, float] = {}
+        # Those of them whose entries are missing. The others have stopped
+        # according to the entry of another server.
+        self._missing: set[str] = set()
         self.pools: dict[str, ServerPool] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.evacuated_pools: dict[str, ServerPool] = {}
@@ -164,35 +171,57 @@
         # the older one, which may have open flows; the other gets no flows,
         # because their packets could not be distinguished.
         self._by_tag: dict[int, list[Backend]] = {}
-        # Name of the server that was last listed at each address.
-        self._by_address: dict[addresses.Address, str] = {}
+        self._claims = address_claims.AddressClaims()
 
-    def update(self, server: Backend, takes_address: bool = True) -> None:
+    def update(self, server: Backend) -> None:
         """Add a server, or replace what is stored about it.
 
-        Cancels the removal of this server. Schedules that of an older server
-        at its address.
-
-        :param takes_address: whether the older server at its address must
-            have stopped. An entry whose service nobody knows is no evidence.
+        Cancels the removal of this server, unless its address belongs to
+        another one. Schedules that of an older server at its address.
         """
-        previous = self.servers.get(server.name)
-        self.pending_removal.pop(server.name, None)
+        name = server.name
+        previous = self.servers.get(name)
+        self.cancel_removal(name)
         if previous is not None and vars(previous) == vars(server):
+            self._settle(previous)
             return
-        departed = self.departed.pop(server.name, None)
+        if previous is None:
+            self.forget_superseded(name)
+            if self._claims.is_stopped(server):
+                self.superseded[name] = server
+                self._claims.add(server)
+                return
+        departed = self.departed.pop(name, None)
         if departed is not None:
             self._remove_from_indexes(departed[0])
         if previous is not None:
             self._remove_from_indexes(previous)
             self._count(previous, -1)
-            self._release_address(previous)
-        self.servers[server.name] = server
-        if takes_address:
-            self._expire_same_address(server)
-            self._by_address[server.address] = server.name
+            self._claims.discard(previous)
+        self.servers[name] = server
+        self._claims.add(server)
         self._count(server, 1)
         self._add_to_indexes(server)
+        self._settle(server)
+        if previous is not None:
+            self._restore_at(previous)
+
+    def set_services(self, names: frozenset[str]) -> None:
+        """Replace the services that the configuration names.
+
+        What the entries of several servers say about one address is judged
+        again. The cost is that of all servers, unless nothing changes.
+        """
+        if names == self._claims.services:
+            return
+        self._claims.services = names
+        for server in self._claims.shared():
+            if server.name in self.superseded:
+                self._restore(server)
+            elif self._claims.is_stopped(server):
+                self.pending_removal[server.name] = float("-inf")
+            elif server.name not in self._missing:
+                self.pending_removal.pop(server.name, None)
 
     def schedule_removal(self, name: str, until: float) -> None:
         """Schedule the removal of a server whose entry is missing.
@@ -201,10 +230,18 @@
             earlier schedule is not extended.
         """
         if name in self.servers:
+            self._missing.add(name)
             self.pending_removal.setdefault(name, until)
 
+    def forget_superseded(self, name: str) -> None:
+        """Forget a server whose entry is gone, if it was not used anyway."""
+        server = self.superseded.pop(name, None)
+        if server is not None:
+            self._claims.discard(server)
+
     def cancel_removal(self, name: str) -> None:
         """Cancel the removal of a server that is listed again."""
+        self._missing.discard(name)
         self.pending_removal.pop(name, None)
 
     def remove_missing(self, now: float) -> list[str]:
@@ -218,7 +255,12 @@
             if until <= now
         ]
         for name in gone:
+            server = self.servers[name]
+            is_listed = name not in self._missing
             self.remove(name, now)
+            if is_listed:
+                self.superseded[name] = server
+                self._claims.add(server)
         return gone
 
     def remove(self, name: str, now: float) -> None:
@@ -228,14 +270,15 @@
 
         :param now: monotonic seconds.
         """
-        self.pending_removal.pop(name, None)
+        self.cancel_removal(name)
         server = self.servers.pop(name, None)
         if server is None:
             return
-        self._release_address(server)
+        self._claims.discard(server)
         self.departed[name] = (server, now + self.departed_seconds)
         self._count(server, -1)
         self._update_pool(server.tag)
+        self._restore_at(server)
 
     def expire(self, now: float) -> list[Backend]:
         """Remove the servers that departed ``departed_seconds`` ago.
@@ -292,23 +335,31 @@
         if not self.data_centre_sizes[centre]:
             del self.data_centre_sizes[centre]
 
-    def _release_address(self, server: Backend) -> None:
-        if self._by_address.get(server.address) == server.name:
-            del self._by_address[server.address]
+    def _settle(self, server: Backend) -> None:
+        """Schedule the removal of the servers that have lost their address.
 
-    def _expire_same_address(self, server: Backend) -> None:
-        """Schedule the removal of the server that had a server's address.
-
-        It must have stopped, because another server uses the address, even
-        if its entry is still there.
+        A server whose entry is missing has, as soon as another one is there.
         """
-        name = self._by_address.get(server.address)
-        if name is None or name == server.name:
-            return
-        if name in self.pending_removal:
-            self.pending_removal[name] = float("-inf")
-        elif self.servers[name].started < server.started:
-            self.pending_removal[name] = float("-inf")
+        for each in (server, *self._claims.others(server)):
+            if each.name not in self.servers:
+                continue
+            is_replaced = (
+                each is not server
+                and each.name in self._missing
+                and self._claims.are_named(server, each)
+            )
+            if is_replaced or self._claims.is_stopped(each):
+                self.pending_removal[each.name] = float("-inf")
+
+    def _restore_at(self, server: Backend) -> None:
+        """Use the servers again that a server at their address superseded."""
+        for each in self._claims.others(server):
+            if each.name in self.superseded:
+                self._restore(each)
+
+    def _restore(self, server: Backend) -> None:
+        if not self._claims.is_stopped(server):
+            self.update(server)
 
     def _add_to_indexes(self, server: Backend) -> None:
         same_tag = self._by_tag.setdefault(server.tag, [])
--- a/vanilladrum/core/flowhost.py
+++ b/vanilladrum/core/flowhost.py
@@ -150,6 +150,7 @@
             | route.services
             for address, route in offered.routes.items()
         }
+        self.directory.set_services(offered.services)
         return True
 
     def receive(self, packet: flows.Packet, now: float) -> flows.Decision:
@@ -267,9 +268,7 @@
 
         :param server: the server as described by the entry.
         """
-        known = self.configuration.health_paths
-        takes_address = not known or server.service in known
-        self.directory.update(server, takes_address)
+        self.directory.update(server)
 
     def handle_removed_entry(self, name: str, now: float) -> None:
         """Handle the removal of a server's entry from the store.
@@ -279,6 +278,7 @@
         """
         server = self.directory.servers.get(name)
         if server is None:
+            self.directory.forget_superseded(name)
             return
         if server.state is serverstate.ServerState.LEAVING:
             self.directory.remove(name, now)
--- a/vanilladrum/core/routes.py
+++ b/vanilladrum/core/routes.py
@@ -123,6 +123,13 @@
         self.era = era
         self.warm_ups = warm_ups or {}
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that the configuration names anywhere."""
+        return frozenset(self.health_paths).union(
+            *(route.services for route in self.routes.values())
+        )
+
 
 # In force until the first configuration is adopted.
 NO_CONFIGURATION = FlowConfiguration(0, {}, 0.0)
--- a/vanilladrum/daemons/flow_metrics.py
+++ b/vanilladrum/daemons/flow_metrics.py
@@ -50,6 +50,7 @@
         "routes": len(core.configuration.routes),
         "servers": len(directory.servers),
         "servers_lapsing": len(directory.pending_removal),
+        "servers_superseded": len(directory.superseded),
         "servers_departed": len(directory.departed),
         "busy_flows": core.table.busy_counts.total(),
         "open_flows": core.table.busy_counts.total()
--- a/vanilladrum/daemons/server_sync.py
+++ b/vanilladrum/daemons/server_sync.py
@@ -63,7 +63,8 @@
         names = {each.name for each in listed}
         for name in self._withheld.keys() - names:
             del self._withheld[name]
-        for name in list(self.core.directory.servers):
+        directory = self.core.directory
+        for name in (*directory.servers, *directory.superseded):
             if name not in names:
                 self._remove(name, era)
         for each in listed:
@@ -160,8 +161,12 @@
         :returns: whether the server was not cold before.
         """
         warm_up = self.core.warm_up
+        directory = self.core.directory
+        known = directory.servers.get(server.name)
+        if known is None:
+            known = directory.superseded.get(server.name)
         # A list may repeat an entry that arrived earlier.
-        is_repeated = self.core.directory.servers[server.name] is not server
+        is_repeated = known is not server
         if warm_up is None or is_repeated:
             return False
         return warm_up.update_entry(server, self.loop.now())
@@ -169,9 +174,10 @@
     def _remove(self, name: str, era: int) -> None:
         self._withheld.pop(name, None)
         self._entry_order.record_removal(name, era)
-        if name not in self.core.directory.servers:
-            return
+        is_used = name in self.core.directory.servers
         self.core.handle_removed_entry(name, self.loop.now())
+        if not is_used:
+            return
         self.log.event(
             "server entry gone",
             server=name,
