Draw the ports of a test cluster while all of them are bound

Cause: each port was bound, read and closed before the next was drawn, so the system could give out a number again: 12 of 20,000 draws of four ports had equal ones, and 13 of 20 draws of 200 as the new test makes them (it fails if one of 20 does). Now all ports stay bound until the last one is drawn; the test passes.

--- a/examples/flow_cluster.py
+++ b/examples/flow_cluster.py
@@ -1,6 +1,7 @@
 """Runs entry hosts for flows as processes in a simulated environment."""
 
 import asyncio
+import contextlib
 import hashlib
 import json
 import os
@@ -29,11 +30,16 @@
 GRACE_SECONDS = 4
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and most likely for UDP too."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_ports(count: int) -> list[int]:
+    """Return different ports that are free for TCP and most likely for UDP."""
+    with contextlib.ExitStack() as probes:
+        ports = []
+        for _ in range(count):
+            probe = probes.enter_context(socket.socket())
+            # Stays bound until all ports are drawn.
+            probe.bind(("127.0.0.1", 0))
+            ports.append(probe.getsockname()[1])
+        return ports
 
 
 def make_route(
@@ -161,9 +167,7 @@
     )
     servers: list[flow_server.FlowServer] = attrs.field(factory=list)
     hosts: list[EntryHost] = attrs.field(factory=list)
-    ports: list[int] = attrs.field(
-        factory=lambda: [free_port() for _ in range(4)]
-    )
+    ports: list[int] = attrs.field(factory=lambda: free_ports(4))
     generation: int = 1
     configuration: dict | None = None
     target_ms: int = 0
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from examples import flow_cluster
 from examples import flow_soak
 from vanilladrum.standins import object_store
 
@@ -113,3 +114,9 @@
     soak = flow_soak.Soak(cluster, random.Random(1), {"darken": darken})
     report = await soak.run(0.05)
     assert "not recovered" in report["broken"][0]
+
+
+# Equal numbers for two ports of a cluster kept all of its hosts from starting.
+def test_ports_of_a_cluster_differ():
+    for _ in range(20):
+        assert len(set(flow_cluster.free_ports(200))) == 200
--- a/tests/test_hedging_processes.py
+++ b/tests/test_hedging_processes.py
@@ -18,7 +18,7 @@
     monkeypatch.setenv(hedge_settings.SHARE_VARIABLE, "0.5")
     # Of the percentiles, the median needs the fewest openings.
     monkeypatch.setenv(hedge_settings.PERCENTILE_VARIABLE, "0.5")
-    port = flow_cluster.free_port()
+    (port,) = flow_cluster.free_ports(1)
     monkeypatch.setenv(node_settings.METRICS_VARIABLE, str(port))
     try:
         await cluster.start()
