Judge isolation by the data centres of named services

Callers would see: an evacuated data centre that is cut off refuses all of them, although its hosts would use its own servers, as long as an entry of a service that no configuration names has another zone.

Cause: each data centre with any listed server counted as one that may be reached, and that of such an entry never became unreachable.

Before: the new test fails (assert False, from EvacuationRule.update). After: it and the other tests of evacuations pass.

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -222,6 +222,18 @@
     assert host.directory.evacuated == {"bilbao"}
 
 
+# The zone in an entry of another program counted as a data centre that may be
+# reached, so that no isolated host used its own servers.
+def test_entry_of_an_unknown_service_is_no_sign_of_a_data_centre(host):
+    host.handle_entry(
+        make_server(20, service="monitoring", data_centre="oviedo")
+    )
+    host.set_evacuated(["bilbao"], NOW)
+    fall_silent(host, "gijon")
+    lose_store(host)
+    assert host.evacuation.update(store_unreachable=True, now=NOW)
+
+
 def test_own_servers_are_not_used_while_another_data_centre_is_reached(host):
     host.handle_entry(make_server(20, data_centre="oviedo"))
     host.set_evacuated(["bilbao"], NOW)
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -140,6 +140,7 @@
     :param superseded: servers that are not used because another one has got
         their address, by name. Their entries are still in the store.
     :param pools: servers that accept new flows, by service.
+    :param claims: all servers whose entries are in the store, by address.
     :param evacuated: names of the evacuated data centres. Their servers are
         in no pool.
     :param evacuated_pools: servers that would accept new flows but are in
@@ -171,7 +172,7 @@
         # the older one, which may have open flows; the other gets no flows,
         # because their packets could not be distinguished.
         self._by_tag: dict[int, list[Backend]] = {}
-        self._claims = address_claims.AddressClaims()
+        self.claims = address_claims.AddressClaims()
 
     def update(self, server: Backend) -> None:
         """Add a server, or replace what is stored about it.
@@ -187,9 +188,9 @@
             return
         if previous is None:
             self.forget_superseded(name)
-            if self._claims.is_stopped(server):
+            if self.claims.is_stopped(server):
                 self.superseded[name] = server
-                self._claims.add(server)
+                self.claims.add(server)
                 return
         departed = self.departed.pop(name, None)
         if departed is not None:
@@ -197,9 +198,9 @@
         if previous is not None:
             self._remove_from_indexes(previous)
             self._count(previous, -1)
-            self._claims.discard(previous)
+            self.claims.discard(previous)
         self.servers[name] = server
-        self._claims.add(server)
+        self.claims.add(server)
         self._count(server, 1)
         self._add_to_indexes(server)
         self._settle(server)
@@ -212,13 +213,13 @@
         What the entries of several servers say about one address is judged
         again. The cost is that of all servers, unless nothing changes.
         """
-        if names == self._claims.services:
+        if names == self.claims.services:
             return
-        self._claims.services = names
-        for server in self._claims.shared():
+        self.claims.services = names
+        for server in self.claims.shared():
             if server.name in self.superseded:
                 self._restore(server)
-            elif self._claims.is_stopped(server):
+            elif self.claims.is_stopped(server):
                 self.pending_removal[server.name] = float("-inf")
             elif server.name not in self._missing:
                 self.pending_removal.pop(server.name, None)
@@ -237,7 +238,7 @@
         """Forget a server whose entry is gone, if it was not used anyway."""
         server = self.superseded.pop(name, None)
         if server is not None:
-            self._claims.discard(server)
+            self.claims.discard(server)
 
     def cancel_removal(self, name: str) -> None:
         """Cancel the removal of a server that is listed again."""
@@ -260,7 +261,7 @@
             self.remove(name, now)
             if is_listed:
                 self.superseded[name] = server
-                self._claims.add(server)
+                self.claims.add(server)
         return gone
 
     def remove(self, name: str, now: float) -> None:
@@ -274,7 +275,7 @@
         server = self.servers.pop(name, None)
         if server is None:
             return
-        self._claims.discard(server)
+        self.claims.discard(server)
         self.departed[name] = (server, now + self.departed_seconds)
         self._count(server, -1)
         self._update_pool(server.tag)
@@ -340,25 +341,25 @@
 
         A server whose entry is missing has, as soon as another one is there.
         """
-        for each in (server, *self._claims.others(server)):
+        for each in (server, *self.claims.others(server)):
             if each.name not in self.servers:
                 continue
             is_replaced = (
                 each is not server
                 and each.name in self._missing
-                and self._claims.are_named(server, each)
+                and self.claims.are_named(server, each)
             )
-            if is_replaced or self._claims.is_stopped(each):
+            if is_replaced or self.claims.is_stopped(each):
                 self.pending_removal[each.name] = float("-inf")
 
     def _restore_at(self, server: Backend) -> None:
         """Use the servers again that a server at their address superseded."""
-        for each in self._claims.others(server):
+        for each in self.claims.others(server):
             if each.name in self.superseded:
                 self._restore(each)
 
     def _restore(self, server: Backend) -> None:
-        if not self._claims.is_stopped(server):
+        if not self.claims.is_stopped(server):
             self.update(server)
 
     def _add_to_indexes(self, server: Backend) -> None:
--- a/vanilladrum/core/evacuation/rule.py
+++ b/vanilladrum/core/evacuation/rule.py
@@ -102,15 +102,25 @@
 
         Without another one nothing shows that this host is isolated.
         """
-        others = [
-            name
-            for name in self.directory.data_centres()
-            if name != self.data_centre
-        ]
+        others = self._data_centres() - {self.data_centre}
         return bool(others) and all(
             self._is_unreachable(name) for name in others
         )
 
+    def _data_centres(self) -> set[str]:
+        """Return the data centres with servers that may get new flows.
+
+        Entries of services that no configuration names say nothing about a
+        data centre.
+        """
+        directory = self.directory
+        found: set[str] = set()
+        for service in directory.claims.services:
+            for pools in (directory.pools, directory.evacuated_pools):
+                if service in pools:
+                    found.update(pools[service].by_data_centre)
+        return found
+
     def _is_unreachable(self, data_centre: str) -> bool:
         """Return whether a data centre is unreachable.
 
