Compare only servers of named services at an address

Entries of unknown services were compared with all others at their address, so that n of them at one address cost n squared comparisons, though they get no flows. They are kept by name until a configuration names their service. Of two servers whose entries are both missing, neither replaces the other.

--- a/tests/test_address_claims.py
+++ b/tests/test_address_claims.py
@@ -158,6 +158,19 @@
     assert set(host.directory.servers) == {server.name, successor.name}
 
 
+# Each of them was compared with all others at its address.
+def test_cost_of_entries_of_unknown_services_at_one_address(host, server):
+    configure(host, 2, "bookings")
+    host.handle_entry(server)
+    claims = host.directory.claims
+    for number in range(2, 200):
+        host.handle_entry(make_successor(server, number, "monitoring"))
+    assert not claims.others(server)
+    assert not claims.others(host.directory.servers["i-000000c7"])
+    host.tick(0.1)
+    assert server.name in host.directory.servers
+
+
 async def test_hosts_start_beside_entries_at_the_servers_addresses(cluster):
     """All hosts are killed and start again; then one of them does."""
     for server in cluster.servers:
--- a/vanilladrum/core/address_claims.py
+++ b/vanilladrum/core/address_claims.py
@@ -25,16 +25,34 @@
 
     def __init__(self) -> None:
         self.services: frozenset[str] = frozenset()
+        # Servers of the named services, and the others by name only: their
+        # addresses mean nothing, and any number of them may have the same.
         self._by_address: dict[
             addresses.Address, dict[str, backends.Backend]
         ] = {}
+        self._unnamed: dict[str, backends.Backend] = {}
+
+    def set_services(self, names: frozenset[str]) -> None:
+        """Replace the services that the configuration names."""
+        servers = list(self._unnamed.values())
+        for at_address in self._by_address.values():
+            servers.extend(at_address.values())
+        self.services = names
+        self._by_address.clear()
+        self._unnamed.clear()
+        for server in servers:
+            self.add(server)
 
     def add(self, server: backends.Backend) -> None:
-        """Add a server, or replace what is known about it."""
+        """Add a server."""
+        if server.service not in self.services:
+            self._unnamed[server.name] = server
+            return
         self._by_address.setdefault(server.address, {})[server.name] = server
 
     def discard(self, server: backends.Backend) -> None:
         """Remove a server; one that is not present is ignored."""
+        self._unnamed.pop(server.name, None)
         at_address = self._by_address.get(server.address)
         if at_address is None:
             return
@@ -43,7 +61,12 @@
             del self._by_address[server.address]
 
     def others(self, server: backends.Backend) -> list[backends.Backend]:
-        """Return the other servers at a server's address."""
+        """Return the other servers of named services at a server's address.
+
+        There are none for a server of another service.
+        """
+        if server.service not in self.services:
+            return []
         at_address = self._by_address.get(server.address, {})
         return [each for each in at_address.values() if each is not server]
 
@@ -54,16 +77,11 @@
         other services get no flows, so nothing is decided about them.
         """
         return any(
-            each.started > server.started and self.are_named(server, each)
-            for each in self.others(server)
+            each.started > server.started for each in self.others(server)
         )
 
-    def are_named(self, *servers: backends.Backend) -> bool:
-        """Return whether the configuration names the servers' services."""
-        return all(each.service in self.services for each in servers)
-
     def shared(self) -> Iterator[backends.Backend]:
         """Yield the servers at addresses that several servers have."""
-        for at_address in list(self._by_address.values()):
+        for at_address in self._by_address.values():
             if len(at_address) > 1:
-                yield from list(at_address.values())
+                yield from at_address.values()
--- a/vanilladrum/core/backend.py
+++ b/vanilladrum/core/backend.py
@@ -215,14 +215,13 @@
         """
         if names == self.claims.services:
             return
-        self.claims.services = names
+        self.claims.set_services(names)
+        for name in self.pending_removal.keys() - self._missing:
+            del self.pending_removal[name]
+        for server in list(self.superseded.values()):
+            self._restore(server)
         for server in self.claims.shared():
-            if server.name in self.superseded:
-                self._restore(server)
-            elif self.claims.is_stopped(server):
-                self.pending_removal[server.name] = float("-inf")
-            elif server.name not in self._missing:
-                self.pending_removal.pop(server.name, None)
+            self._settle(server)
 
     def schedule_removal(self, name: str, until: float) -> None:
         """Schedule the removal of a server whose entry is missing.
@@ -347,7 +346,7 @@
             is_replaced = (
                 each is not server
                 and each.name in self._missing
-                and self.claims.are_named(server, each)
+                and server.name not in self._missing
             )
             if is_replaced or self.claims.is_stopped(each):
                 self.pending_removal[each.name] = float("-inf")
--- a/vanilladrum/standins/large_entries.py
+++ b/vanilladrum/standins/large_entries.py
@@ -12,7 +12,7 @@
     :param unit: text that is repeated.
     :param end: text after the last unit.
     """
-    head, tail = b'{"service":"inventory","rows":[', b"]}"
+    head, tail = b'{"service":"other","rows":[', b"]}"
 
     def make(size: int) -> bytes:
         rest = size - len(head) - len(end) - len(tail)
@@ -23,7 +23,7 @@
 
 def _nest(opening: bytes, closing: bytes) -> Callable[[int], bytes]:
     """Return a function that makes an entry with deep nesting."""
-    head, tail = b'{"service":"inventory","rows":', b"}"
+    head, tail = b'{"service":"other","rows":', b"}"
 
     def make(size: int) -> bytes:
         rest = size - len(head) - len(tail) - 1
