--- a/examples/flow_soak.py
+++ b/examples/flow_soak.py
@@ -7,9 +7,10 @@
 store is also restored from copies, with ``odd`` it is silent for less than a
 second, other programs write odd entries and routes move away from full
 servers, with ``evacuations`` data centres are evacuated as well, with
-``large`` a large configuration changes in series while links are slow. Prints
-the seed and the outcomes as JSON. If a guarantee was violated, it keeps the
-logs of the hosts and the exit code is 1.
+``large`` a large configuration changes in series while links are slow, with
+``foreign`` other programs write large entries and entries at the addresses of
+servers. Prints the seed and the outcomes as JSON. If a guarantee was violated,
+it keeps the logs of the hosts and the exit code is 1.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 
 from examples import evacuation_faults
 from examples import flow_cluster
+from examples import foreign_faults
 from examples import large_faults
 from examples import odd_faults
 from examples import overdue_check
@@ -59,6 +61,7 @@
     "odd": odd_faults.ODD_FAULTS,
     "evacuations": restore_faults.RESTORE_FAULTS,
     "large": large_faults.LARGE_FAULTS,
+    "foreign": foreign_faults.FOREIGN_FAULTS,
 }
 
 
--- a/tests/test_flow_soak.py
+++ b/tests/test_flow_soak.py
@@ -25,6 +25,10 @@
     2: "copies of first packets went to a service that the route had left",
     4: "a zone that cannot be encoded ended all ticks; SIGTERM was ignored",
 }
+# The same of runs with entries of other programs.
+FOREIGN_SEEDS = {
+    1: "the first seed",
+}
 # The same of runs in which data centres are evacuated.
 EVACUATION_SEEDS = {
     1: "the first seed",
@@ -77,6 +81,14 @@
     assert report["faults"] >= 5
 
 
+# No soak had large entries, or other entries at the addresses of servers.
+@pytest.mark.parametrize("seed", FOREIGN_SEEDS)
+async def test_guarantees_hold_with_foreign_entries(seed, tmp_path):
+    report = await flow_soak.soak(seed, SECONDS, tmp_path, "foreign")
+    assert report["broken"] == [], report
+    assert report["faults"] >= 5
+
+
 async def start_without_a_store(soak):
     """Start all hosts again during an outage; then they know nothing.
 
