Model of the watchers: use the mirror as it keeps objects now

Cause: the model builds the production mirror's state itself, and was left out when changed what the mirror keeps. Its objects are entries of servers now, because the mirror relays no others, and are kept and read in the encoded form.

--- a/model/watchers.py
+++ b/model/watchers.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterator
+import json
 from typing import Any
 
 import attrs
@@ -20,11 +21,23 @@
 from vanilladrum.daemons import list_watch
 from vanilladrum.platform import mirror as mirrors
 from vanilladrum.platform import objects
+from vanilladrum.platform import relay
 from vanilladrum.platform import store as stores
 from vanilladrum.standins import object_store
 
 HOST_COUNT = 2
 KIND = "servers"
+# Content of each object: the mirror relays only entries that name a server.
+SERVER_ENTRY = {
+    "service": "bookings",
+    "address": "10.128.0.9:8080",
+    "zone": "bilbao",
+    "version": "v1",
+    "max-concurrency": 2,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "sequence": 1,
+}
 # Successive changes of the store in its first era and in later ones: the name
 # of an object and whether it is deleted. Name "a" is reused after it was
 # deleted.
@@ -155,10 +168,17 @@
 def _make_stored(
     name: str, revision: int, deleted: bool
 ) -> objects.StoredObject:
-    plain = object_store.make_object(name, revision, {})
+    plain = object_store.make_object(name, revision, SERVER_ENTRY)
     return objects.parse_object(plain, deleted=deleted)
 
 
+def _make_relayed(name: str, revision: int) -> bytes:
+    """Return an object as the production mirror keeps it."""
+    encoded = relay.encode(KIND, _make_stored(name, revision, False))
+    assert encoded is not None
+    return encoded
+
+
 class _StubSourceSelector:
     """Test double for the source selector of a list watcher.
 
@@ -299,12 +319,13 @@
         if kind.position is None:
             return None
         if host.relist or host.position is None:
-            listing = _StubStore(kind.list_document(), kind.era).listing()
+            document = json.loads(kind.list_body())
+            listing = _StubStore(document, kind.era).listing()
             listed = [(each.name, each.revision) for each in listing.objects]
             return Answer(listing.position, tuple(sorted(listed)))
         if not kind.has_history_since(host.position):
             return Answer(positions.START, history_gone=True)
-        document = kind.changes_document(host.position.revision)
+        document = json.loads(kind.changes_body(host.position.revision))
         changes = _StubStore(document, kind.era).changes()
         events = tuple(
             (each.name, each.revision, each.deleted)
@@ -368,8 +389,8 @@
             view=tuple(sorted(view.items())),
             history_start=kind.history_start,
             history=tuple(
-                (name, objects.parse_object(plain).revision, deleted, at)
-                for name, (at, plain, deleted) in kind.history.items()
+                (name, _revision(relayed), deleted, at)
+                for name, (at, relayed, deleted) in kind.history.items()
             ),
             reverted=host.reverted
             or (list_watcher.position or positions.START) < old_position,
@@ -377,18 +398,21 @@
 
     def _make_kind(self, host: Host) -> mirrors.MirroredKind:
         """Build the production mirror's object from a host's state."""
-        kind = self.rules.kind()
+        kind = self.rules.kind(KIND)
         kind.position = host.position
         kind.history_start = host.history_start
-        kind.raw_objects = {
-            name: _make_stored(name, at, False).plain for name, at in host.view
+        kind.relayed = {
+            name: _make_relayed(name, at) for name, at in host.view
         }
         for name, revision, deleted, at in host.history:
-            plain = _make_stored(name, revision, deleted).plain
-            kind.history[name] = (at, plain, deleted)
+            kind.history[name] = (at, _make_relayed(name, revision), deleted)
         return kind
 
 
+def _revision(relayed: bytes) -> int:
+    return objects.parse_object(json.loads(relayed)).revision
+
+
 def _replace_host(state: State, number: int, host: Host) -> State:
     hosts = list(state.hosts)
     hosts[number] = host
@@ -509,27 +533,29 @@
 class _NamesItsOwnRevision(mirrors.MirroredKind):
     """Answers a host that is ahead with its own, older revision."""
 
-    def changes_document(self, revision):
+    def changes_body(self, revision):
         own_revision = self.position.revision
-        return super().changes_document(min(revision, own_revision))
+        return super().changes_body(min(revision, own_revision))
 
 
 class _ForgetsDeletions(mirrors.MirroredKind):
     """Passes on no deletions, only objects that exist."""
 
-    def apply_change(self, revision, changed):
-        super().apply_change(revision, changed)
+    def apply_change(self, revision, changed, era):
+        is_relayed = super().apply_change(revision, changed, era)
         if changed.deleted:
             del self.history[changed.name]
+        return is_relayed
 
 
 class _BoundsSilently(mirrors.MirroredKind):
     """Drops old changes without recording that its history is incomplete."""
 
-    def apply_change(self, revision, changed):
-        super().apply_change(revision, changed)
+    def apply_change(self, revision, changed, era):
+        is_relayed = super().apply_change(revision, changed, era)
         while len(self.history) > 1:
             del self.history[next(iter(self.history))]
+        return is_relayed
 
 
 class _ComparesRevisionsOnly(list_watch.ListWatcher):
